Count a task's faults in whatever order workers list them

The holder lost the store while two faults of a task were unrecorded. Its successor heard of run 2 first and adopted it; the listing of run 1, a lower number, was then refused as an old run, its fault was not counted, and the task got a third run.

Ruled out: a start before all recorded workers had reported (each had), a record that was lost (neither fault was recorded), two runs of one number.

Change: a task keeps the numbers of the runs that failed in place of a count; a listed fault counts once per number, also for a run that holds no place. A fault that was recorded and is listed again to a successor counted twice before; it counts once now.

--- a/src/libsycamorespar/graph_progress.cpp
+++ b/src/libsycamorespar/graph_progress.cpp
@@ -55,7 +55,7 @@
     occurrence_progress created;
     for (auto const& step : graph_.steps)
         created.steps.push_back(
-            {std::vector<task_progress>(step.count, fresh), 0, 0});
+            {std::vector<task_progress>(step.count, fresh), 0});
     created.open_steps = graph_.steps.size();
     return created;
 }
@@ -78,7 +78,7 @@
         if (task == nullptr)
             continue;
         task->last_run = each.last_run;
-        task->failures = each.failures;
+        task->failed_runs = each.failed_runs;
         task->checkpoint = each.checkpoint;
         if (each.is_done && !task->is_done)
             complete_task(id);
@@ -266,18 +266,18 @@
 void graph_progress::count_failure(run_id const& run)
 {
     auto const& step = step_of(run.task);
-    auto& of = occurrences_.at(run.task.occurrence).steps[run.task.step];
+    if (step.long_running)
+        return;
+    // All members of a gang fail as one.
     task_id counted = run.task;
-    if (step.gang) {
-        if (of.failed_gang_run == run.number)
-            return;
-        of.failed_gang_run = run.number;
+    if (step.gang)
         counted.index = 0;
-    }
-    auto& task = *find_mutable(counted);
-    ++task.failures;
-    if (!step.long_running && task.failures >= max_failures_ &&
-        !is_final(phase_))
+    auto& failed = find_mutable(counted)->failed_runs;
+    if (std::find(failed.begin(), failed.end(), run.number) != failed.end())
+        return;
+    failed.push_back(run.number);
+    ++version_;
+    if (failed.size() >= max_failures_ && !is_final(phase_))
         phase_ = job_phase::failed;
 }
 
@@ -328,6 +328,13 @@
         phase_ = job_phase::completed;
 }
 
+void graph_progress::note_late_failure(run_id const& run)
+{
+    auto const* const found = find(run.task);
+    if (found != nullptr && !found->is_done && !is_final(phase_))
+        count_failure(run);
+}
+
 std::vector<task_id> graph_progress::end_run(
     run_id const& run, run_end how, std::string const& checkpoint)
 {
@@ -372,7 +379,7 @@
                     continue;
                 written.tasks.push_back(
                     {occurrence, step, index, task.is_done, task.last_run,
-                     task.failures, task.checkpoint});
+                     task.failed_runs, task.checkpoint});
             }
         }
     }
--- a/src/libsycamorespar/graph_progress.hpp
+++ b/src/libsycamorespar/graph_progress.hpp
@@ -39,8 +39,8 @@
     std::uint32_t last_run = 0;
     /// The runs that hold a place; more than one only where copies may run.
     std::vector<std::uint32_t> live_runs;
-    /// Runs that ended by a fault.
-    std::uint32_t failures = 0;
+    /// The runs that ended by a fault; empty where these don't count.
+    std::vector<std::uint32_t> failed_runs;
     /// What the next run goes on from; empty for the start.
     std::string checkpoint;
     /// An earlier scheduler may have begun runs that no record tells of.
@@ -62,8 +62,8 @@
     bool is_done = false;
     /// The number of its last run.
     std::uint32_t last_run = 0;
-    /// Runs that ended by a fault.
-    std::uint32_t failures = 0;
+    /// The runs that ended by a fault; empty where these don't count.
+    std::vector<std::uint32_t> failed_runs;
     /// What the next run goes on from.
     std::string checkpoint;
 
@@ -135,6 +135,9 @@
     bool adopt_run(run_id const& run);
     /// Keeps what a run has saved.
     void keep_checkpoint(run_id const& run, std::string const& checkpoint);
+    /// Counts a fault of a run that holds no place any more, as a worker may
+    /// list it late; each run counts once.
+    void note_late_failure(run_id const& run);
     /// Ends a run.
     /// \return the tasks that have become due.
     std::vector<task_id>
@@ -152,8 +155,6 @@
     {
         std::vector<task_progress> tasks;
         std::uint32_t done = 0;
-        /// The last run of a gang that was counted as failed.
-        std::uint32_t failed_gang_run = 0;
     };
     struct occurrence_progress
     {
--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -276,9 +276,10 @@
             continue;
         worker.last_end = end.number;
         // An end may be the first that this scheduler hears of a run.
-        if (!worker.runs.contains(end.run))
-            adopt(worker, end.run);
-        end_run(worker, end.run, end.how, end.checkpoint, now);
+        if (worker.runs.contains(end.run) || adopt(worker, end.run))
+            end_run(worker, end.run, end.how, end.checkpoint, now);
+        else if (end.how == run_end::failed)
+            note_late_failure(end.run);
         auto const* const job = find_job(end.run.task.job);
         worker.ends[end.number] = {
             end.run.task.job, job == nullptr ? 0 : job->progress.version()};
@@ -286,6 +287,22 @@
     advance_acknowledgements(worker);
 }
 
+// After a takeover workers list their ends in any order: a later run of the
+// task may be known already, and the fault counts all the same.
+void graph_scheduler::note_late_failure(run_id const& run)
+{
+    auto* const job = find_job(run.task.job);
+    if (job == nullptr)
+        return;
+    auto const before = job->progress.version();
+    job->progress.note_late_failure(run);
+    if (job->progress.version() == before)
+        return;
+    mark_changed(run.task.job);
+    if (is_final(job->progress.phase()))
+        stop_live_runs(*job);
+}
+
 void graph_scheduler::take_runs(
     booked_worker& worker, runner_report const& report, monotonic_time now)
 {
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -189,6 +189,7 @@
     void end_all_runs(booked_worker& worker, monotonic_time now);
     void take_ends(
         booked_worker& worker, runner_report const& report, monotonic_time now);
+    void note_late_failure(run_id const& run);
     void take_runs(
         booked_worker& worker, runner_report const& report, monotonic_time now);
     void take_run(
--- a/src/records/graph_json.cpp
+++ b/src/records/graph_json.cpp
@@ -156,7 +156,7 @@
     for (auto const& task : progress.tasks)
         tasks.push_back(json::array(
             {task.occurrence, task.step, task.index, task.is_done,
-             task.last_run, task.failures, task.checkpoint}));
+             task.last_run, task.failed_runs, task.checkpoint}));
     json const out = {
         {"phase", phase_name(progress.phase)},
         {"first_open", progress.first_open},
@@ -177,7 +177,7 @@
                      task.at(1).get<std::uint32_t>(),
                      task.at(2).get<std::uint32_t>(), task.at(3).get<bool>(),
                      task.at(4).get<std::uint32_t>(),
-                     task.at(5).get<std::uint32_t>(),
+                     task.at(5).get<std::vector<std::uint32_t>>(),
                      task.at(6).get<std::string>()});
             return progress;
         });
--- a/tests/graph_progress_test.cpp
+++ b/tests/graph_progress_test.cpp
@@ -175,7 +175,7 @@
 {
     graph_progress progress(graph_of({tasks(1)}), 3);
     graph_snapshot recorded;
-    recorded.tasks = {{0, 0, 0, false, 3, 1, ""}};
+    recorded.tasks = {{0, 0, 0, false, 3, {1}, ""}};
     progress.restore(recorded);
     CHECK_FALSE(progress.adopt_run({task(0, 0), 2}));
     CHECK(progress.adopt_run({task(0, 0), 4}));
--- a/tests/graph_records_test.cpp
+++ b/tests/graph_records_test.cpp
@@ -93,7 +93,8 @@
     graph_snapshot progress;
     progress.phase = job_phase::running;
     progress.first_open = 2;
-    progress.tasks = {{2, 1, 3, true, 4, 1, ""}, {2, 1, 4, false, 9, 0, "s"}};
+    progress.tasks = {
+        {2, 1, 3, true, 4, {1}, ""}, {2, 1, 4, false, 9, {}, "s"}};
     auto const read = read_progress(write_progress(progress));
     REQUIRE(ok(read));
     CHECK(value(read) == progress);
--- a/tests/graph_scheduler_test.cpp
+++ b/tests/graph_scheduler_test.cpp
@@ -551,3 +551,39 @@
     w.plan();
     CHECK(starts_in(a.exchange(w.scheduler, w.now, false)).empty());
 }
+
+TEST_CASE("faults of a task count in whatever order workers list them")
+{
+    // BUDGET on trouble-1 of both grown deployments: the holder lost the store
+    // with both faults unrecorded, its successor heard of the later run first
+    // and gave the task a third.
+    world w({worker_id{"a"}, worker_id{"b"}});
+    test_runner a("a");
+    test_runner b("b");
+    auto const job = test_job("j1", "urgent", test_step(1, one_core));
+    w.scheduler.add_job(job, nullptr, scheduler_term{3}, w.now);
+    task_id const task{job.id, 0, 0, 0};
+    a.end({task, 1}, run_end::failed);
+    b.end({task, 2}, run_end::failed);
+    b.join(w.scheduler, w.now);
+    a.join(w.scheduler, w.now);
+    CHECK(starts_in(w.step(a)).empty());
+    CHECK(starts_in(w.step(b)).empty());
+    record_all(w.scheduler);
+    CHECK(w.scheduler.phase_of(job.id) == job_phase::failed);
+}
+
+TEST_CASE("a fault that is listed again counts once")
+{
+    world w({worker_id{"a"}});
+    test_runner a("a");
+    auto const job = test_job("j1", "urgent", test_step(1, one_core));
+    task_id const task{job.id, 0, 0, 0};
+    graph_snapshot recorded;
+    recorded.phase = job_phase::running;
+    recorded.tasks = {{0, 0, 0, false, 1, {1}, ""}};
+    w.scheduler.add_job(job, &recorded, scheduler_term{3}, w.now);
+    a.end({task, 1}, run_end::failed);
+    a.join(w.scheduler, w.now);
+    CHECK(starts_in(w.step(a)).size() == 1);
+}
