Turn callers away while the store is lost, and hasten takeovers

After the closing losses of power nothing ran until the lease of a holder that was long back had ended; each takeover also waited up to 8.4 s for workers that had left for good.

Ruled out: connections that hang (the calls end in 1 s, as set), runners that find no holder (they follow within a round trip).

Change: contact_watch tells a store that is lost from one that is slow or loses some answers; watched_store applies it and reads a key now and then until the store is back. While it is lost, new jobs, cancels and states that the entry doesn't know are refused at once, and the entry says that it isn't ready. A process whose own address is in the office's key takes it over at once: its earlier life has ended. Workers whose runs are over and which stay silent are taken off the record, under a condition on the record's revision.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -208,6 +208,7 @@
         begin_life(worker, report, now);
     worker.facts = report.facts;
     worker.last_sequence = report.sequence;
+    worker.heard_at = now;
     worker.is_reachable = report.is_reachable;
     if (report.token != worker.token) {
         worker.has_new_token = true;
@@ -505,14 +506,39 @@
     if (now >= settled_at_)
         unsettled_.clear();
     for (auto& [id, worker] : workers_.all()) {
-        // Until it has settled, an earlier scheduler's grants may outlast ours.
-        bool const has_lapsed = now >= std::max(worker.held_until, settled_at_);
-        if (!has_lapsed || worker.runs.empty())
+        if (!has_lapsed(worker, now) || worker.runs.empty())
             continue;
         end_all_runs(worker, now);
         worker.orders.clear();
         worker.is_listed = false;
     }
+    forget_silent(now);
+}
+
+bool graph_scheduler::has_lapsed(
+    booked_worker const& worker, monotonic_time now) const
+{
+    // Until it has settled, an earlier scheduler's grants may outlast ours.
+    return now >= std::max(worker.held_until, settled_at_);
+}
+
+// A successor waits for every recorded worker. Those that are gone for good
+// would hold up the tasks of each takeover until their time is over.
+void graph_scheduler::forget_silent(monotonic_time now)
+{
+    std::erase_if(workers_.all(), [&](auto const& entry) {
+        auto const& worker = entry.second;
+        bool const is_silent = now - worker.heard_at >= limits_.hold;
+        if (!is_silent || !has_lapsed(worker, now))
+            return false;
+        forgotten_.push_back(worker.id);
+        return true;
+    });
+}
+
+std::vector<worker_id> graph_scheduler::take_forgotten_workers()
+{
+    return std::exchange(forgotten_, {});
 }
 
 void graph_scheduler::open_occurrences(std::chrono::milliseconds time_of_day)
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -124,6 +124,9 @@
     std::vector<worker_id> unrecorded_workers() const;
     /// The worker is recorded.
     void on_worker_recorded(worker_id const& worker);
+    /// The workers whose runs are all over and which have been silent since:
+    /// their records may go, so that no successor waits for them.
+    std::vector<worker_id> take_forgotten_workers();
     /// The answer to the last report of a worker.
     /// \param extends  false where its runs must not be let go on.
     runner_reply
@@ -207,6 +210,8 @@
         booked_worker& worker, run_id const& run, run_end how,
         monotonic_time now);
     void count_out_silent(monotonic_time now);
+    bool has_lapsed(booked_worker const& worker, monotonic_time now) const;
+    void forget_silent(monotonic_time now);
     void open_occurrences(std::chrono::milliseconds time_of_day);
     void place_waiting(monotonic_time now);
     void move_slow_fillers(monotonic_time now);
@@ -225,6 +230,7 @@
     schedule_policy policy_;
     worker_book workers_;
     std::set<worker_id> unsettled_;
+    std::vector<worker_id> forgotten_;
     monotonic_time settled_at_;
     std::map<job_id, job_entry> jobs_;
     std::set<waiting_task> waiting_;
--- a/src/libsycamorespar/worker_book.hpp
+++ b/src/libsycamorespar/worker_book.hpp
@@ -87,6 +87,8 @@
     std::uint64_t told_through = 0;
     /// A reply would tell a new token.
     bool has_new_token = false;
+    /// When a report was taken in last.
+    monotonic_time heard_at{};
     /// No run goes on after this unless another report is answered.
     monotonic_time held_until{};
     /// Failed runs in a row.
--- a/src/records/record_writer.cpp
+++ b/src/records/record_writer.cpp
@@ -55,8 +55,22 @@
     });
 }
 
+void record_writer::know_worker(worker_id const& worker, kv_revision revision)
+{
+    worker_revisions_[worker] = revision;
+}
+
+void record_writer::remove_worker(worker_id const& worker)
+{
+    workers_.erase(worker);
+    if (worker_revisions_.contains(worker) &&
+        gone_workers_.insert(worker).second)
+        wake();
+}
+
 void record_writer::add_worker(worker_id const& worker)
 {
+    gone_workers_.erase(worker);
     if (workers_.insert(worker).second)
         wake();
 }
@@ -99,12 +113,8 @@
 {
     batch next;
     next.write.expected.push_back({office_key, term_.value});
-    for (auto const& worker : workers_) {
-        if (next.write.size() == max_kv_write_size)
-            break;
-        next.write.puts.push_back({worker_key(worker), "{}", {}});
-        next.workers.push_back(worker);
-    }
+    add_workers(next);
+    add_gone_workers(next);
     while (!to_forget_.empty() && next.write.size() < max_kv_write_size) {
         next.write.removals.push_back(progress_key(to_forget_.back()));
         next.forgotten.push_back(to_forget_.back());
@@ -117,6 +127,31 @@
     return next;
 }
 
+void record_writer::add_workers(batch& into)
+{
+    for (auto const& worker : workers_) {
+        if (into.write.size() == max_kv_write_size)
+            return;
+        into.write.puts.push_back({worker_key(worker), "{}", {}});
+        into.workers.push_back(worker);
+    }
+}
+
+// The condition on the revision keeps a removal that is carried out late from
+// removing the record of a worker that is back.
+void record_writer::add_gone_workers(batch& into)
+{
+    constexpr std::size_t entries_per_removal = 2;
+    for (auto const& worker : gone_workers_) {
+        if (into.write.size() + entries_per_removal > max_kv_write_size)
+            return;
+        into.write.expected.push_back(
+            {worker_key(worker), worker_revisions_.at(worker)});
+        into.write.removals.push_back(worker_key(worker));
+        into.gone_workers.push_back(worker);
+    }
+}
+
 void record_writer::add_record(batch& into, progress_record record) const
 {
     auto const known = revisions_.find(record.job);
@@ -156,8 +191,13 @@
     std::weak_ptr<bool> const guard = alive_;
     for (auto const& worker : sent.workers) {
         workers_.erase(worker);
+        worker_revisions_[worker] = revision;
         told_.on_worker_recorded(worker);
     }
+    for (auto const& worker : sent.gone_workers) {
+        gone_workers_.erase(worker);
+        worker_revisions_.erase(worker);
+    }
     for (auto const& job : sent.forgotten) {
         revisions_.erase(job);
         told_.on_forgotten(job);
@@ -184,6 +224,9 @@
             know_progress(job_id{*job}, item.revision);
     }
     give_back(sent);
+    // A record that is not as it was known stays; it costs a successor a wait.
+    for (auto const& worker : sent.gone_workers)
+        gone_workers_.erase(worker);
     if (is_ours)
         return;
     log_event(log_level::warning, "record_conflict", {{"term", term_.value}});
--- a/src/records/record_writer.hpp
+++ b/src/records/record_writer.hpp
@@ -64,8 +64,12 @@
     void know_cancellation(job_id const& job);
     /// A job's record is still there although the job has ended.
     void forget_later(job_id const& job);
+    /// The revision of a worker's record as it was read.
+    void know_worker(worker_id const& worker, kv_revision revision);
     /// A worker is to be recorded.
     void add_worker(worker_id const& worker);
+    /// A worker's record is to be removed; ignored where none is known.
+    void remove_worker(worker_id const& worker);
     /// There may be something to write.
     void wake();
     /// Writes so far.
@@ -77,11 +81,14 @@
         kv_write write;
         std::vector<progress_record> records;
         std::vector<worker_id> workers;
+        std::vector<worker_id> gone_workers;
         std::vector<job_id> forgotten;
     };
 
     void write_next();
     batch gather();
+    void add_workers(batch& into);
+    void add_gone_workers(batch& into);
     void add_record(batch& into, progress_record record) const;
     void take_result(batch const& sent, result<kv_written> const& written);
     void take_written(batch const& sent, kv_revision revision);
@@ -97,6 +104,8 @@
     std::map<job_id, kv_revision> revisions_;
     std::set<job_id> cancellations_;
     std::set<worker_id> workers_;
+    std::map<worker_id, kv_revision> worker_revisions_;
+    std::set<worker_id> gone_workers_;
     std::vector<job_id> to_forget_;
     bool is_busy_ = false;
     bool is_wanted_ = false;
--- a/src/spar-scheduler/caller_front.cpp
+++ b/src/spar-scheduler/caller_front.cpp
@@ -112,6 +112,10 @@
         respond(exchange, status_bad_request);
         return;
     }
+    if (asked_.is_store_lost()) {
+        refuse(exchange);
+        return;
+    }
     accepted_job job{take(std::move(graph)), {}};
     if (auto const holder = asked_.holder())
         job.accepted_in = holder->term;
@@ -143,6 +147,10 @@
             return;
         }
     }
+    if (asked_.is_store_lost()) {
+        refuse(exchange);
+        return;
+    }
     find_phase(store_, job, [this, exchange](auto const& found) {
         if (!ok(found)) {
             refuse(exchange);
@@ -158,6 +166,10 @@
 void caller_front::cancel(exchange_id exchange, job_id const& job)
 {
     ++counts_.cancels;
+    if (asked_.is_store_lost()) {
+        refuse(exchange);
+        return;
+    }
     store_cancellation(
         store_, job, [this, exchange](cancellation const& done_so) {
             switch (done_so) {
--- a/src/spar-scheduler/caller_front.hpp
+++ b/src/spar-scheduler/caller_front.hpp
@@ -54,6 +54,8 @@
         std::function<scheduling_term*()> term;
         /// Who holds the office.
         std::function<std::optional<office_holder>()> holder;
+        /// True where the store can't be reached at present.
+        std::function<bool()> is_store_lost;
     };
 
     caller_front(
--- a/src/spar-scheduler/scheduler_daemon.cpp
+++ b/src/spar-scheduler/scheduler_daemon.cpp
@@ -29,7 +29,8 @@
 
 scheduler_daemon::scheduler_daemon(scheduler_settings settings)
     : settings_(std::move(settings)), store_client_(loop_, settings_.store),
-      store_(store_client_.store()),
+      watched_store_(loop_, store_client_.store(), office_key),
+      store_(watched_store_.store()),
       configuration_(
           loop_, store_,
           [this] {
@@ -45,8 +46,9 @@
       front_(
           loop_, store_, configuration_,
           {[this] { return ready_term(); },
+           [this] { return office_->holder(); },
            [this] {
-               return office_->holder();
+               return watched_store_.is_lost();
            }}),
       readiness_(
           loop_, http_server_limits{},
@@ -122,7 +124,9 @@
 
 void scheduler_daemon::answer_readiness(exchange_id exchange)
 {
-    bool const is_ready = !is_stopping_ && configuration_.is_known();
+    // Where only this process has lost the store, others can take the callers.
+    bool const is_ready =
+        !is_stopping_ && configuration_.is_known() && !watched_store_.is_lost();
     readiness_.respond(
         exchange, {is_ready ? status_ok : status_unavailable, {}, {}});
 }
--- a/src/spar-scheduler/scheduler_daemon.hpp
+++ b/src/spar-scheduler/scheduler_daemon.hpp
@@ -11,6 +11,7 @@
 #include "spar-scheduler/scheduler_settings.hpp"
 #include "spar-scheduler/scheduling_term.hpp"
 #include "store/office.hpp"
+#include "store/watched_store.hpp"
 
 #include <memory>
 
@@ -40,6 +41,7 @@
     scheduler_settings settings_;
     event_loop loop_;
     platform::kv_client store_client_;
+    watched_store watched_store_;
     kv_store store_;
     configuration_follower configuration_;
     std::unique_ptr<scheduling_term> term_;
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -111,7 +111,7 @@
     }
     for (auto const& item : value(page).items) {
         if (auto const worker = after_prefix(item.key, worker_prefix))
-            recorded_workers_.emplace_back(*worker);
+            recorded_workers_.emplace(*worker, item.revision);
     }
     if (value(page).has_more && !value(page).items.empty())
         read_workers_page(value(page).items.back().key);
@@ -121,8 +121,11 @@
 
 void scheduling_term::begin()
 {
+    std::vector<worker_id> workers;
+    for (auto const& [worker, revision] : recorded_workers_)
+        workers.push_back(worker);
     scheduler_ = std::make_unique<graph_scheduler>(
-        term_, recorded_workers_, limits_, event_loop::now());
+        term_, workers, limits_, event_loop::now());
     scheduler_->set_policy(policy_);
     record_writer::observer told;
     told.on_recorded = [this](job_id const& job, std::uint64_t version) {
@@ -145,6 +148,8 @@
     };
     writer_ =
         std::make_unique<record_writer>(loop_, store_, term_, std::move(told));
+    for (auto const& [worker, revision] : recorded_workers_)
+        writer_->know_worker(worker, revision);
     for (auto const& [job, recorded] : progress_) {
         writer_->know_progress(job, recorded.revision);
         if (is_final(recorded.snapshot.phase))
@@ -263,6 +268,11 @@
     if (!is_ready())
         return;
     scheduler_->plan(event_loop::now(), steady_time_of_day());
+    for (auto const& worker : scheduler_->take_forgotten_workers()) {
+        log_event(
+            log_level::info, "worker_forgotten", {{"worker", worker.value}});
+        writer_->remove_worker(worker);
+    }
     for (auto const& worker : scheduler_->unrecorded_workers())
         writer_->add_worker(worker);
     writer_->wake();
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -81,7 +81,7 @@
     schedule_policy policy_;
     observer told_;
     std::map<job_id, recorded_progress> progress_;
-    std::vector<worker_id> recorded_workers_;
+    std::map<worker_id, kv_revision> recorded_workers_;
     std::unique_ptr<graph_scheduler> scheduler_;
     std::unique_ptr<record_writer> writer_;
     std::unique_ptr<prefix_watch> jobs_;
--- a/src/store/office.cpp
+++ b/src/store/office.cpp
@@ -137,7 +137,17 @@
         return;
     }
     usual_capacity_ = holder_->capacity;
-    claim_later();
+    if (is_earlier_life(*holder_))
+        try_to_take();
+    else
+        claim_later();
+}
+
+// This process listens where that holder did, so the holder has ended; its
+// lease need not be waited for.
+bool office::is_earlier_life(office_holder const& holder) const
+{
+    return holder.address == self_.address && holder.process != self_.process;
 }
 
 bool office::is_larger(std::int64_t capacity, std::int64_t than) const
@@ -246,8 +256,15 @@
 void office::take_with(kv_lease const& lease)
 {
     lease_ = lease.id;
+    bool const is_free = !holder_ || is_earlier_life(*holder_);
+    if (!is_free) {
+        is_trying_ = false;
+        return;
+    }
     kv_write const write{
-        {{office_key, 0}}, {{office_key, write_office(self_), lease.id}}, {}};
+        {{office_key, holder_ ? holder_->term.value : 0}},
+        {{office_key, write_office(self_), lease.id}},
+        {}};
     std::weak_ptr<bool> const guard = alive_;
     store_.write(write, [this, guard](result<kv_written> const& written) {
         if (guard.expired())
--- a/src/store/office.hpp
+++ b/src/store/office.hpp
@@ -109,6 +109,7 @@
     void take_change(kv_change const& change);
     void take_claim(kv_item const& item);
     void set_holder(std::optional<office_holder> holder);
+    bool is_earlier_life(office_holder const& holder) const;
     void take_in_turn();
     bool is_larger(std::int64_t capacity, std::int64_t than) const;
     void claim_later();
--- a/tests/graph_scheduler_test.cpp
+++ b/tests/graph_scheduler_test.cpp
@@ -587,3 +587,37 @@
     a.join(w.scheduler, w.now);
     CHECK(starts_in(w.step(a)).size() == 1);
 }
+
+TEST_CASE(
+    "a worker that is gone for good is forgotten, one that is back is not")
+{
+    // The load: machines are replaced all day. Each that was gone held up
+    // every later takeover for as long as its runs might have gone on.
+    world w;
+    test_runner a("a");
+    test_runner b("b");
+    a.join(w.scheduler, w.now);
+    b.join(w.scheduler, w.now);
+    w.plan();
+    for (int second = 0; second < 8; ++second) {
+        w.now += 1s;
+        b.exchange(w.scheduler, w.now);
+        w.plan();
+    }
+    CHECK(w.scheduler.take_forgotten_workers() == std::vector{worker_id{"a"}});
+    CHECK(w.scheduler.take_forgotten_workers().empty());
+    CHECK(w.scheduler.unrecorded_workers().empty());
+    a.exchange(w.scheduler, w.now);
+    CHECK(w.scheduler.unrecorded_workers() == std::vector{worker_id{"a"}});
+}
+
+TEST_CASE("a worker that may still run something is not forgotten")
+{
+    world w({worker_id{"a"}});
+    w.now += 8s;
+    w.plan();
+    CHECK(w.scheduler.take_forgotten_workers().empty());
+    w.now += 1s;
+    w.plan();
+    CHECK(w.scheduler.take_forgotten_workers().size() == 1);
+}
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -6,6 +6,7 @@
 #include "standins/kv/memory_kv.hpp"
 #include "store/office.hpp"
 #include "store/prefix_watch.hpp"
+#include "store/watched_store.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -166,6 +167,28 @@
     CHECK(seen.values.contains("op/a"));
 }
 
+TEST_CASE("the loss of the store is seen, and its return, without callers")
+{
+    bench b;
+    watched_store_limits limits;
+    limits.probe = 20ms;
+    limits.contact.failing = 40ms;
+    watched_store watched(b.loop, b.store, office_key, limits);
+    auto const store = watched.store();
+    store.get("any", [](auto const&) {});
+    b.run_for(10ms);
+    CHECK_FALSE(watched.is_lost());
+    b.kv.is_down = true;
+    store.get("any", [](auto const&) {});
+    b.run_for(10ms);
+    CHECK_FALSE(watched.is_lost());
+    b.run_for(120ms);
+    CHECK(watched.is_lost());
+    b.kv.is_down = false;
+    b.run_for(80ms);
+    CHECK_FALSE(watched.is_lost());
+}
+
 TEST_CASE("a watch goes on once the store is back")
 {
     bench b;
@@ -282,6 +305,27 @@
     CHECK(small.seat.is_held());
 }
 
+TEST_CASE("a process that starts again takes its office over at once")
+{
+    // The closing losses of power: callers waited for the lease of a holder
+    // that was back, and known to be gone, long before.
+    bench b;
+    auto before = std::make_unique<candidate>(b, 1, 250);
+    b.run_for(30ms);
+    auto const first_term = before->seat.holder()->term;
+    before.reset();
+    office again(
+        b.loop, b.store, {incarnation{9}, {"127.0.0.1", 1}, 250},
+        {[](scheduler_term) {},
+         [] {
+         }});
+    candidate other(b, 2, 250);
+    b.run_for(60ms);
+    REQUIRE(again.is_held());
+    CHECK(again.holder()->term > first_term);
+    CHECK_FALSE(other.seat.is_held());
+}
+
 TEST_CASE("a claim to an earlier term changes nothing")
 {
     bench b;
@@ -293,6 +337,21 @@
     CHECK(small.seat.is_held());
 }
 
+TEST_CASE("the record of a worker that is gone is removed, unless it is back")
+{
+    writer_bench b;
+    b.writer->add_worker(worker_id{"a"});
+    b.writer->add_worker(worker_id{"b"});
+    b.run_for(60ms);
+    REQUIRE(b.kv.items().contains(worker_key(worker_id{"a"})));
+    b.writer->remove_worker(worker_id{"a"});
+    b.writer->remove_worker(worker_id{"b"});
+    b.writer->add_worker(worker_id{"b"});
+    b.run_for(60ms);
+    CHECK_FALSE(b.kv.items().contains(worker_key(worker_id{"a"})));
+    CHECK(b.kv.items().contains(worker_key(worker_id{"b"})));
+}
+
 TEST_CASE("a job that is handed in twice is one job")
 {
     bench b;
