Speak the platform's store protocol everywhere: one client, one stand-in

Change: spar-entry and spar-agent use kv_store through platform/kv_client, which gains further endpoints (a call goes on to the next only where it never left), the end of a lease, and takes 400 and 403 for proof that nothing was done. list_all reads pages for all users; three copies of the paging are gone. memory_kv has leases and waits; standin-kv serves it by the platform's protocol, with the modes down, busy, silent and slow. src/platform and the earlier stand-in are gone.

--- a/bench/store_bench.cpp
+++ b/bench/store_bench.cpp
@@ -2,8 +2,7 @@
 /// processor time and the bytes of the messages. Takes the port of a running
 /// stand-in on the loopback address.
 #include "common/event_loop.hpp"
-#include "platform/store_client.hpp"
-#include "platform/store_codec.hpp"
+#include "platform/kv_client.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -31,7 +30,7 @@
     std::string what;
     int calls = 0;
     std::size_t records = 1;
-    std::size_t request_bytes = 0;
+    std::size_t value_bytes = 0;
 };
 
 microseconds processor_time()
@@ -103,13 +102,13 @@
         fmt::print(
             "{:<28} {:>6} calls {:>9.0f} calls/s {:>9.0f} records/s "
             "p50 {:>8.0f} us p99 {:>8.0f} us cpu {:>8.1f} us/call "
-            "{:>8} request bytes\n",
+            "{:>8} bytes of value\n",
             about.what, about.calls,
             about.calls * micros_per_second / elapsed.count(),
             about.calls * static_cast<double>(about.records) *
                 micros_per_second / elapsed.count(),
             quantile(50), quantile(99), processor.count() / about.calls,
-            about.request_bytes);
+            about.value_bytes);
     }
 
     event_loop& loop_;
@@ -121,7 +120,7 @@
 
 // One writer, one write at a time, each compared with the one before, as a
 // shard's holder does it.
-void measure_group_commits(runner& run, store_client& client)
+void measure_group_commits(runner& run, kv_store const& store)
 {
     struct step
     {
@@ -132,32 +131,31 @@
          {step{1, 5000}, step{10, 5000}, step{100, 2000}, step{1000, 500}}) {
         std::string const key = "shard/" + std::to_string(records);
         std::string const image(records * record_bytes, '\x81');
-        transaction write;
-        write.compares = {{key, compare_target::mod_revision, 0}};
+        kv_write write;
+        write.expected = {{key, 0}};
         write.puts = {{key, image, {}}};
         measurement const about{
             fmt::format("commit of {} records", records), calls, records,
-            codec::write_commit(write).size()};
-        run.run(about, 1, [&client, &write](auto on_done) {
-            client.commit(
-                write, [&write, on_done](result<commit_answer> const& got) {
+            image.size()};
+        run.run(about, 1, [&store, &write](auto on_done) {
+            store.write(
+                write, [&write, on_done](result<kv_written> const& got) {
                     if (!ok(got))
                         fail(failure(got));
-                    write.compares[0].expected = value(got).revision;
+                    write.expected[0].revision = value(got).revision;
                     on_done();
                 });
         });
     }
 }
 
-void measure_reads(runner& run, store_client& client)
+void measure_reads(runner& run, kv_store const& store)
 {
     for (int const parallel : {1, parallel_reads}) {
         measurement const about{
-            fmt::format("get of 200 bytes, {} open", parallel), reads, 1,
-            codec::write_get("shard/1").size()};
-        run.run(about, parallel, [&client](auto on_done) {
-            client.get("shard/1", [on_done](result<get_answer> const& got) {
+            fmt::format("get of 200 bytes, {} open", parallel), reads, 1, 0};
+        run.run(about, parallel, [&store](auto on_done) {
+            store.get("shard/1", [on_done](auto const& got) {
                 if (!ok(got))
                     fail(failure(got));
                 on_done();
@@ -177,9 +175,10 @@
     event_loop loop;
     endpoint const where{
         "127.0.0.1", static_cast<std::uint16_t>(std::atoi(texts[1]))};
-    store_client client(loop, {where}, {});
+    kv_client client(loop, {where});
+    auto const store = client.store();
     runner run(loop);
-    measure_group_commits(run, client);
-    measure_reads(run, client);
+    measure_group_commits(run, store);
+    measure_reads(run, store);
     return EXIT_SUCCESS;
 }
--- a/src/common/kv_store.hpp
+++ b/src/common/kv_store.hpp
@@ -165,6 +165,8 @@
         grant_lease;
     /// Renews a lease; false where it has ended.
     std::function<void(kv_lease_id, callback<bool>)> keep_lease;
+    /// Ends a lease, which removes its keys; false where it had ended before.
+    std::function<void(kv_lease_id, callback<bool>)> end_lease;
 };
 
 } // namespace sycamorespar
--- a/src/spar-agent/agent_daemon.cpp
+++ b/src/spar-agent/agent_daemon.cpp
@@ -8,6 +8,7 @@
 #include "operators/metrics_page.hpp"
 #include "operators/table_json.hpp"
 #include "spar-agent/agent_metrics.hpp"
+#include "store/list_all.hpp"
 
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -31,7 +32,8 @@
 
 agent_daemon::agent_daemon(agent_settings settings)
     : settings_(std::move(settings)), life_(random_seed()),
-      admission_(life_, settings_.domain), store_(loop_, settings_.store, {}),
+      admission_(life_, settings_.domain),
+      store_client_(loop_, settings_.store), store_(store_client_.store()),
       links_(settings_.worker, life_, settings_.home_entries),
       requests_(
           loop_, admission_,
@@ -94,13 +96,13 @@
 
 void agent_daemon::read_entries()
 {
-    store_.list(entries_prefix, [this](auto const& answer) {
+    list_all(store_, entries_prefix, [this](auto const& answer) {
         if (!ok(answer)) {
             log_error("entries_read_failed", failure(answer));
             return;
         }
         std::vector<entry_address> registered;
-        for (platform::stored_value const& each : value(answer).values) {
+        for (kv_item const& each : value(answer).items) {
             auto const parsed =
                 nlohmann::json::parse(each.value, nullptr, false);
             if (parsed.is_object() && parsed.contains("peer_address") &&
--- a/src/spar-agent/agent_daemon.hpp
+++ b/src/spar-agent/agent_daemon.hpp
@@ -7,7 +7,7 @@
 #include "libsycamorespar/agent_admission.hpp"
 #include "operators/table_copy.hpp"
 #include "peers/inbox.hpp"
-#include "platform/store_client.hpp"
+#include "platform/kv_client.hpp"
 #include "spar-agent/agent_settings.hpp"
 #include "spar-agent/entry_links.hpp"
 #include "spar-agent/request_service.hpp"
@@ -56,7 +56,8 @@
     incarnation life_;
     event_loop loop_;
     agent_admission admission_;
-    platform::store_client store_;
+    platform::kv_client store_client_;
+    kv_store store_;
     entry_links links_;
     request_service requests_;
     task_service tasks_;
--- a/src/spar-entry/entry_daemon.cpp
+++ b/src/spar-entry/entry_daemon.cpp
@@ -22,7 +22,7 @@
 
 entry_daemon::entry_daemon(entry_settings settings)
     : settings_(std::move(settings)), life_(random_seed()),
-      store_(loop_, settings_.store, {}),
+      store_client_(loop_, settings_.store), store_(store_client_.store()),
       http_(
           loop_, {},
           [this](exchange_id exchange, http_request const& request) {
--- a/src/spar-entry/entry_daemon.hpp
+++ b/src/spar-entry/entry_daemon.hpp
@@ -7,7 +7,7 @@
 #include "common/http_server.hpp"
 #include "libsycamorespar/agent_directory.hpp"
 #include "peers/inbox.hpp"
-#include "platform/store_client.hpp"
+#include "platform/kv_client.hpp"
 #include "spar-entry/agent_links.hpp"
 #include "spar-entry/entry_settings.hpp"
 #include "spar-entry/ledger_keeper.hpp"
@@ -56,7 +56,8 @@
     entry_settings settings_;
     incarnation life_;
     event_loop loop_;
-    platform::store_client store_;
+    platform::kv_client store_client_;
+    kv_store store_;
     http_server http_;
     agent_directory directory_;
     agent_links agents_;
--- a/src/spar-entry/ledger_keeper.cpp
+++ b/src/spar-entry/ledger_keeper.cpp
@@ -6,6 +6,7 @@
 
 #include "common/log.hpp"
 #include "peers/codec.hpp"
+#include "store/list_all.hpp"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -38,7 +39,7 @@
 } // namespace
 
 ledger_keeper::ledger_keeper(
-    event_loop& loop, platform::store_client& store, registration& registered,
+    event_loop& loop, kv_store const& store, registration& registered,
     table_keeper& tables, incarnation self, std::uint32_t shard_count,
     ledger_keeper_hooks hooks)
     : loop_(loop), store_(store), registered_(registered), tables_(tables),
@@ -100,23 +101,22 @@
 {
     if (stopping_ || !registered_.is_live(event_loop::now()))
         return;
-    store_.list(holders_prefix, [this](auto const& answer) {
+    list_all(store_, holders_prefix, [this](auto const& answer) {
         if (ok(answer))
-            apply_holders(value(answer).values);
+            apply_holders(value(answer).items);
     });
 }
 
-void ledger_keeper::apply_holders(
-    std::vector<platform::stored_value> const& listed)
+void ledger_keeper::apply_holders(std::vector<kv_item> const& listed)
 {
     if (stopping_)
         return;
     holders_.clear();
     std::size_t const prefix = std::string(holders_prefix).size();
-    for (platform::stored_value const& each : listed) {
+    for (kv_item const& each : listed) {
         shard_id const shard{
             std::strtoull(each.key.c_str() + prefix, nullptr, 10)};
-        holders_[shard] = {entry_id{each.value}, each.create_revision};
+        holders_[shard] = {entry_id{each.value}, each.revision};
     }
     bool handed_over = false;
     for (std::uint64_t number = 1; number <= shard_count_; ++number) {
@@ -139,13 +139,14 @@
 {
     if (shards_.contains(shard) || !claiming_.insert(shard).second)
         return;
-    platform::transaction write;
-    write.compares.push_back(
-        {holder_key(shard), platform::compare_target::create_revision, 0});
+    kv_write write;
+    write.expected.push_back({holder_key(shard), 0});
     write.puts.push_back({holder_key(shard), self_.value, registered_.lease()});
-    store_.commit(write, [this, shard](auto const& answer) {
+    store_.write(write, [this, shard](auto const& answer) {
         claiming_.erase(shard);
-        if (!ok(answer) || !value(answer).succeeded)
+        bool const is_claimed =
+            ok(answer) && value(answer).is == kv_written::verdict::written;
+        if (!is_claimed)
             return;
         ledger_shard fresh(
             shard, self_life_, {}, {hooks_.place, wall_clock_ms});
@@ -167,7 +168,7 @@
             return;
         }
         shard_image image;
-        auto const& found = value(answer).found;
+        auto const& found = value(answer);
         if (found) {
             auto read = peers::decode_shard(found->value);
             if (!ok(read)) {
@@ -175,7 +176,7 @@
                 return;
             }
             image = take(std::move(read));
-            held->value_revision = found->mod_revision;
+            held->value_revision = found->revision;
         }
         held->shard.load(image, event_loop::now());
         held->shard.adopt_table(tables_.policy());
@@ -193,13 +194,11 @@
     held_shard* const held = find_shard(shard);
     if (held == nullptr)
         return;
-    platform::transaction write;
-    write.compares.push_back(
-        {holder_key(shard), platform::compare_target::create_revision,
-         held->holder_revision});
-    write.erases.push_back({holder_key(shard), false});
+    kv_write write;
+    write.expected.push_back({holder_key(shard), held->holder_revision});
+    write.removals.push_back(holder_key(shard));
     drop(shard, "handed over");
-    store_.commit(write, [](auto const& answer) {
+    store_.write(write, [](auto const& answer) {
         if (!ok(answer))
             log_error("shard_hand_over_failed", failure(answer));
     });
@@ -370,33 +369,26 @@
     held_shard* const held = find_shard(shard);
     if (held == nullptr)
         return;
-    platform::transaction write;
-    write.compares.push_back(
-        {value_key(shard), platform::compare_target::mod_revision,
-         held->value_revision});
-    write.compares.push_back(
-        {holder_key(shard), platform::compare_target::create_revision,
-         held->holder_revision});
+    kv_write write;
+    write.expected.push_back({value_key(shard), held->value_revision});
+    write.expected.push_back({holder_key(shard), held->holder_revision});
     if (action.table) {
         auto const table = tables_.store_revision(*action.table);
         if (!table) {
             find_lost_compare(shard);
             return;
         }
-        write.compares.push_back(
-            {table_keeper::key, platform::compare_target::mod_revision,
-             *table});
+        write.expected.push_back({table_keeper::key, *table});
     }
     write.puts.push_back(
         {value_key(shard), peers::encode_shard(action.image), {}});
-    store_.commit(write, [this, shard, action](auto const& answer) {
+    store_.write(write, [this, shard, action](auto const& answer) {
         on_written(shard, action, answer);
     });
 }
 
 void ledger_keeper::on_written(
-    shard_id shard, write_shard_action const&,
-    result<platform::commit_answer> const& answer)
+    shard_id shard, write_shard_action const&, result<kv_written> const& answer)
 {
     held_shard* const held = find_shard(shard);
     if (held == nullptr)
@@ -409,7 +401,7 @@
                        : write_result::unknown);
         return;
     }
-    if (!value(answer).succeeded) {
+    if (value(answer).is != kv_written::verdict::written) {
         find_lost_compare(shard);
         return;
     }
@@ -440,8 +432,8 @@
                 retry_delay, [this, shard] { find_lost_compare(shard); });
             return;
         }
-        auto const& found = value(answer).found;
-        std::int64_t const revision = found ? found->mod_revision : 0;
+        auto const& found = value(answer);
+        kv_revision const revision = found ? found->revision : 0;
         if (revision != held->value_revision) {
             held->shard.on_write_result(write_result::lost, event_loop::now());
             run(shard);
@@ -470,13 +462,13 @@
             return;
         }
         shard_image image;
-        auto const& found = value(answer).found;
+        auto const& found = value(answer);
         if (found) {
             auto read = peers::decode_shard(found->value);
             if (ok(read))
                 image = take(std::move(read));
             if (image.writer == self_life_)
-                held->value_revision = found->mod_revision;
+                held->value_revision = found->revision;
         }
         held->shard.on_read(image, event_loop::now());
         run(shard);
--- a/src/spar-entry/ledger_keeper.hpp
+++ b/src/spar-entry/ledger_keeper.hpp
@@ -3,8 +3,8 @@
 #define SYCAMORESPAR_SPAR_ENTRY_LEDGER_KEEPER_HPP
 
 #include "common/event_loop.hpp"
+#include "common/kv_store.hpp"
 #include "libsycamorespar/ledger_shard.hpp"
-#include "platform/store_client.hpp"
 #include "spar-entry/registration.hpp"
 #include "spar-entry/table_keeper.hpp"
 
@@ -36,9 +36,9 @@
     using recorded_hook = std::function<void(result<job_state>)>;
 
     ledger_keeper(
-        event_loop& loop, platform::store_client& store,
-        registration& registered, table_keeper& tables, incarnation self,
-        std::uint32_t shard_count, ledger_keeper_hooks hooks);
+        event_loop& loop, kv_store const& store, registration& registered,
+        table_keeper& tables, incarnation self, std::uint32_t shard_count,
+        ledger_keeper_hooks hooks);
 
     /// Starts to claim shards.
     void start(entry_id const& self);
@@ -77,14 +77,14 @@
     struct held_shard
     {
         ledger_shard shard;
-        std::int64_t holder_revision = 0;
-        std::int64_t value_revision = 0;
+        kv_revision holder_revision = 0;
+        kv_revision value_revision = 0;
         bool loaded = false;
     };
     struct holder
     {
         entry_id id;
-        std::int64_t create_revision = 0;
+        kv_revision revision = 0;
     };
     struct waiting_caller
     {
@@ -98,7 +98,7 @@
     entry_id preferred_holder(shard_id shard) const;
     void pace_writes();
     void read_holders();
-    void apply_holders(std::vector<platform::stored_value> const& listed);
+    void apply_holders(std::vector<kv_item> const& listed);
     void claim(shard_id shard);
     void load(shard_id shard);
     void let_go(shard_id shard);
@@ -107,7 +107,7 @@
     void write(shard_id shard, write_shard_action const& action);
     void on_written(
         shard_id shard, write_shard_action const& action,
-        result<platform::commit_answer> const& answer);
+        result<kv_written> const& answer);
     void find_lost_compare(shard_id shard);
     void read_back(shard_id shard);
     void write_result_later(shard_id shard, write_result what);
@@ -115,7 +115,7 @@
     void run(shard_id shard);
 
     event_loop& loop_;
-    platform::store_client& store_;
+    kv_store const& store_;
     registration& registered_;
     table_keeper& tables_;
     incarnation self_life_;
--- a/src/spar-entry/registration.cpp
+++ b/src/spar-entry/registration.cpp
@@ -5,6 +5,7 @@
 
 #include "common/log.hpp"
 #include "libsycamorespar/permit.hpp"
+#include "store/list_all.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -18,7 +19,7 @@
 
 } // namespace
 
-result<entry_record> read_entry_record(platform::stored_value const& from)
+result<entry_record> read_entry_record(kv_item const& from)
 {
     auto const parsed = nlohmann::json::parse(from.value, nullptr, false);
     bool const valid =
@@ -46,7 +47,7 @@
 }
 
 registration::registration(
-    event_loop& loop, platform::store_client& store, std::chrono::seconds ttl,
+    event_loop& loop, kv_store const& store, std::chrono::seconds ttl,
     lost_hook on_lost)
     : loop_(loop), store_(store), ttl_(ttl), on_lost_(std::move(on_lost))
 {}
@@ -78,7 +79,7 @@
             loop_.after(retry_delay, [this] { grant(); });
             return;
         }
-        lease_ = value(answer);
+        lease_ = value(answer).id;
         live_until_ =
             asked_at + duration(ttl_) * 100 / (100 + clock_rate_error_percent);
         put_record();
@@ -87,16 +88,21 @@
 
 void registration::put_record()
 {
-    platform::transaction write;
+    kv_write write;
     write.puts.push_back(
         {entries_prefix + self_.id.value, write_entry_record(self_), lease_});
-    store_.commit(write, [this](auto const& answer) {
-        if (ok(answer)) {
+    store_.write(write, [this](auto const& answer) {
+        bool const is_written =
+            ok(answer) && value(answer).is == kv_written::verdict::written;
+        if (is_written) {
             log_event(log_level::info, "entry_registered");
             read_entries();
             return;
         }
-        log_error("entry_register_failed", failure(answer));
+        if (ok(answer))
+            log_event(log_level::warning, "entry_register_refused");
+        else
+            log_error("entry_register_failed", failure(answer));
         loop_.after(retry_delay, [this] {
             if (lease_.value != 0 && !stopping_)
                 put_record();
@@ -117,29 +123,30 @@
     if (lease_.value == 0 || stopping_)
         return;
     monotonic_time const asked_at = event_loop::now();
-    platform::lease_id const asked = lease_;
-    store_.keep_alive(asked, [this, asked_at, asked](auto const& answer) {
+    auto const asked = lease_;
+    store_.keep_lease(asked, [this, asked_at, asked](auto const& answer) {
         if (asked != lease_)
             return;
-        if (ok(answer)) {
+        if (ok(answer) && value(answer)) {
             live_until_ = std::max(
                 live_until_, asked_at + duration(ttl_) * 100 /
                                             (100 + clock_rate_error_percent));
             return;
         }
-        log_error("lease_renew_failed", failure(answer));
-        if (failure(answer).effect == outcome::ran)
+        if (ok(answer))
             lose();
+        else
+            log_error("lease_renew_failed", failure(answer));
     });
 }
 
 void registration::read_entries()
 {
-    store_.list(entries_prefix, [this](auto const& answer) {
+    list_all(store_, entries_prefix, [this](auto const& answer) {
         if (!ok(answer))
             return;
         entries_.clear();
-        for (platform::stored_value const& each : value(answer).values) {
+        for (kv_item const& each : value(answer).items) {
             auto record = read_entry_record(each);
             if (ok(record))
                 entries_.emplace(value(record).id, value(record));
@@ -154,7 +161,7 @@
         on_done();
         return;
     }
-    store_.revoke_lease(lease_, [on_done](auto const& answer) {
+    store_.end_lease(lease_, [on_done](auto const& answer) {
         if (!ok(answer))
             log_error("lease_revoke_failed", failure(answer));
         on_done();
--- a/src/spar-entry/registration.hpp
+++ b/src/spar-entry/registration.hpp
@@ -3,8 +3,9 @@
 #define SYCAMORESPAR_SPAR_ENTRY_REGISTRATION_HPP
 
 #include "common/event_loop.hpp"
+#include "common/http_message.hpp"
+#include "common/kv_store.hpp"
 #include "libsycamorespar/ids.hpp"
-#include "platform/store_client.hpp"
 
 #include <chrono>
 #include <functional>
@@ -26,7 +27,7 @@
 };
 
 /// Reads a record; the id comes from the key.
-result<entry_record> read_entry_record(platform::stored_value const& from);
+result<entry_record> read_entry_record(kv_item const& from);
 
 /// The text that is stored.
 std::string write_entry_record(entry_record const& from);
@@ -42,15 +43,15 @@
     using lost_hook = std::function<void()>;
 
     registration(
-        event_loop& loop, platform::store_client& store,
-        std::chrono::seconds ttl, lost_hook on_lost);
+        event_loop& loop, kv_store const& store, std::chrono::seconds ttl,
+        lost_hook on_lost);
 
     /// Registers, and goes on trying while the store is down.
     void start(entry_record const& self);
     /// True while the lease certainly lives, by this process's clock.
     bool is_live(monotonic_time now) const;
     /// The lease that keys may be put under.
-    platform::lease_id lease() const { return lease_; }
+    kv_lease_id lease() const { return lease_; }
     /// All entries registered, as last read.
     std::map<entry_id, entry_record> const& entries() const { return entries_; }
     /// Ends the lease; calls back in any case.
@@ -64,11 +65,11 @@
     void lose();
 
     event_loop& loop_;
-    platform::store_client& store_;
+    kv_store const& store_;
     std::chrono::seconds ttl_;
     lost_hook on_lost_;
     entry_record self_;
-    platform::lease_id lease_;
+    kv_lease_id lease_;
     monotonic_time live_until_;
     bool granting_ = false;
     bool stopping_ = false;
--- a/src/spar-entry/table_keeper.cpp
+++ b/src/spar-entry/table_keeper.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 table_keeper::table_keeper(
-    event_loop& loop, platform::store_client& store, changed_hook on_changed)
+    event_loop& loop, kv_store const& store, changed_hook on_changed)
     : loop_(loop), store_(store), on_changed_(std::move(on_changed))
 {}
 
@@ -33,15 +33,15 @@
     store_.get(key, [this, on_done = std::move(on_done)](auto const& answer) {
         if (!ok(answer))
             log_error("table_read_failed", failure(answer));
-        else if (value(answer).found)
-            take(*value(answer).found);
+        else if (value(answer))
+            take(*value(answer));
         on_done();
     });
 }
 
-void table_keeper::take(platform::stored_value const& stored)
+void table_keeper::take(kv_item const& stored)
 {
-    if (stored.mod_revision <= read_mod_revision_)
+    if (stored.revision <= read_mod_revision_)
         return;
     auto const adopted = adopt(stored.value);
     if (!ok(adopted)) {
@@ -49,7 +49,7 @@
         return;
     }
     auto const parsed = decode_table(stored.value);
-    read_mod_revision_ = stored.mod_revision;
+    read_mod_revision_ = stored.revision;
     read_revision_ = value(parsed).revision;
 }
 
@@ -67,8 +67,7 @@
     return done{};
 }
 
-std::optional<std::int64_t>
-table_keeper::store_revision(table_revision of) const
+std::optional<kv_revision> table_keeper::store_revision(table_revision of) const
 {
     if (of != read_revision_)
         return std::nullopt;
@@ -91,8 +90,8 @@
             edit.on_done(fault);
             return;
         }
-        if (value(answer).found)
-            take(*value(answer).found);
+        if (value(answer))
+            take(*value(answer));
         auto next = apply_edit(copy_.current(), edit.wanted);
         if (auto const* refused = std::get_if<edit_refusal>(&next)) {
             edit.on_done(*refused);
@@ -110,18 +109,17 @@
         return;
     }
     std::string const text = sycamorespar::take(std::move(encoded));
-    platform::transaction write;
-    write.compares.push_back(
-        {key, platform::compare_target::mod_revision, read_mod_revision_});
+    kv_write write;
+    write.expected.push_back({key, read_mod_revision_});
     write.puts.push_back({key, text, {}});
-    store_.commit(
+    store_.write(
         write, [this, edit = std::move(edit), text](auto const& answer) {
             if (!ok(answer)) {
                 settle_unknown(edit, text);
                 return;
             }
-            if (value(answer).succeeded) {
-                take({key, text, 0, value(answer).revision, {}});
+            if (value(answer).is == kv_written::verdict::written) {
+                take({key, text, value(answer).revision, 0});
                 edit.on_done(copy_.current().revision);
                 return;
             }
@@ -149,10 +147,9 @@
                 settle_unknown(edit, text);
                 return;
             }
-            bool const applied =
-                value(answer).found && value(answer).found->value == text;
-            if (value(answer).found)
-                take(*value(answer).found);
+            bool const applied = value(answer) && value(answer)->value == text;
+            if (value(answer))
+                take(*value(answer));
             if (applied) {
                 edit.on_done(copy_.current().revision);
                 return;
--- a/src/spar-entry/table_keeper.hpp
+++ b/src/spar-entry/table_keeper.hpp
@@ -3,10 +3,10 @@
 #define SYCAMORESPAR_SPAR_ENTRY_TABLE_KEEPER_HPP
 
 #include "common/event_loop.hpp"
+#include "common/kv_store.hpp"
 #include "libsycamorespar/table.hpp"
 #include "libsycamorespar/table_policy.hpp"
 #include "operators/table_copy.hpp"
-#include "platform/store_client.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -28,8 +28,7 @@
     using changed_hook = std::function<void(table_policy const&)>;
 
     table_keeper(
-        event_loop& loop, platform::store_client& store,
-        changed_hook on_changed);
+        event_loop& loop, kv_store const& store, changed_hook on_changed);
 
     /// Starts to poll.
     void start();
@@ -55,7 +54,7 @@
     }
     /// The store's revision of the table with this revision; empty where the
     /// table came from a peer and was not read from the store yet.
-    std::optional<std::int64_t> store_revision(table_revision of) const;
+    std::optional<kv_revision> store_revision(table_revision of) const;
     /// The store's key.
     static constexpr char const* key = "/spar/table";
 
@@ -67,16 +66,16 @@
         int tries = 0;
     };
 
-    void take(platform::stored_value const& stored);
+    void take(kv_item const& stored);
     void try_edit(pending_edit edit);
     void commit_edit(pending_edit edit, table const& next);
     void settle_unknown(pending_edit edit, std::string const& text);
 
     event_loop& loop_;
-    platform::store_client& store_;
+    kv_store const& store_;
     changed_hook on_changed_;
     table_copy copy_;
-    std::int64_t read_mod_revision_ = 0;
+    kv_revision read_mod_revision_ = 0;
     table_revision read_revision_;
 };
 
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 runner_daemon::runner_daemon(runner_settings settings)
-    : settings_(std::move(settings)), store_client_(loop_, settings_.store),
+    : settings_(std::move(settings)), store_client_(loop_, {settings_.store}),
       store_(store_client_.store()),
       keeper_(
           settings_.machine, incarnation{random_seed()}, limits_of(settings_)),
--- a/src/spar-scheduler/scheduler_daemon.cpp
+++ b/src/spar-scheduler/scheduler_daemon.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 scheduler_daemon::scheduler_daemon(scheduler_settings settings)
-    : settings_(std::move(settings)), store_client_(loop_, settings_.store),
+    : settings_(std::move(settings)), store_client_(loop_, {settings_.store}),
       watched_store_(loop_, store_client_.store(), office_key),
       store_(watched_store_.store()),
       configuration_(
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -16,7 +16,7 @@
 
 /// Occurrences are opened and rests end at this coarseness.
 constexpr milliseconds tick_period{50};
-/// A pause before a page of records is read again.
+/// A pause before the records are read again.
 constexpr milliseconds reread_pause{100};
 
 /// The time of day when the process began, counted on by a clock that doesn't
@@ -40,7 +40,7 @@
       policy_(std::move(policy)), told_(std::move(told)),
       alive_(std::make_shared<bool>(true))
 {
-    read_progress_page({});
+    read_progress_records();
 }
 
 scheduling_term::~scheduling_term()
@@ -57,25 +57,23 @@
     });
 }
 
-void scheduling_term::read_progress_page(std::string const& after_key)
+void scheduling_term::read_progress_records()
 {
-    if (after_key.empty())
-        progress_.clear();
     std::weak_ptr<bool> const guard = alive_;
-    store_.list(progress_prefix, after_key, [this, guard](auto const& page) {
+    list_all(store_, progress_prefix, [this, guard](auto const& listing) {
         if (!guard.expired())
-            take_progress_page(page);
+            take_progress(listing);
     });
 }
 
-void scheduling_term::take_progress_page(result<kv_page> const& page)
+void scheduling_term::take_progress(result<kv_listing> const& listing)
 {
-    if (!ok(page)) {
-        log_error("records_not_read", failure(page));
-        read_again([this] { read_progress_page({}); });
+    if (!ok(listing)) {
+        log_error("records_not_read", failure(listing));
+        read_again([this] { read_progress_records(); });
         return;
     }
-    for (auto const& item : value(page).items) {
+    for (auto const& item : value(listing).items) {
         auto const job = after_prefix(item.key, progress_prefix);
         auto const read = read_progress(item.value);
         if (!job || !ok(read)) {
@@ -85,38 +83,30 @@
         }
         progress_[job_id{*job}] = {value(read), item.revision};
     }
-    if (value(page).has_more && !value(page).items.empty())
-        read_progress_page(value(page).items.back().key);
-    else
-        read_workers_page({});
+    read_worker_records();
 }
 
-void scheduling_term::read_workers_page(std::string const& after_key)
+void scheduling_term::read_worker_records()
 {
-    if (after_key.empty())
-        recorded_workers_.clear();
     std::weak_ptr<bool> const guard = alive_;
-    store_.list(worker_prefix, after_key, [this, guard](auto const& page) {
+    list_all(store_, worker_prefix, [this, guard](auto const& listing) {
         if (!guard.expired())
-            take_workers_page(page);
+            take_workers(listing);
     });
 }
 
-void scheduling_term::take_workers_page(result<kv_page> const& page)
+void scheduling_term::take_workers(result<kv_listing> const& listing)
 {
-    if (!ok(page)) {
-        log_error("records_not_read", failure(page));
-        read_again([this] { read_workers_page({}); });
+    if (!ok(listing)) {
+        log_error("records_not_read", failure(listing));
+        read_again([this] { read_worker_records(); });
         return;
     }
-    for (auto const& item : value(page).items) {
+    for (auto const& item : value(listing).items) {
         if (auto const worker = after_prefix(item.key, worker_prefix))
             recorded_workers_.emplace(*worker, item.revision);
     }
-    if (value(page).has_more && !value(page).items.empty())
-        read_workers_page(value(page).items.back().key);
-    else
-        begin();
+    begin();
 }
 
 void scheduling_term::begin()
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -57,10 +57,10 @@
     void plan_soon();
 
 private:
-    void read_progress_page(std::string const& after_key);
-    void take_progress_page(result<kv_page> const& page);
-    void read_workers_page(std::string const& after_key);
-    void take_workers_page(result<kv_page> const& page);
+    void read_progress_records();
+    void take_progress(result<kv_listing> const& listing);
+    void read_worker_records();
+    void take_workers(result<kv_listing> const& listing);
     void read_again(std::function<void()> read);
     void begin();
     void take_listed(std::vector<kv_item> const& items);
--- /dev/null
+++ b/src/store/list_all.hpp
@@ -0,0 +1,31 @@
+/// Reads all keys with a prefix, page by page.
+#ifndef SYCAMORESPAR_STORE_LIST_ALL_HPP
+#define SYCAMORESPAR_STORE_LIST_ALL_HPP
+
+#include "common/kv_store.hpp"
+
+#include <string>
+#include <vector>
+
+namespace sycamorespar {
+
+/// All keys with a prefix. Not a snapshot: a key that changes while the pages
+/// are read may be listed as before or as after.
+struct kv_listing
+{
+    /// The items, in the order of their keys.
+    std::vector<kv_item> items;
+    /// The store's revision at the first page: changes behind it complete the
+    /// listing.
+    kv_revision revision = 0;
+};
+
+/// Reads all pages; the first page that fails ends the reading. The store must
+/// outlive the call.
+void list_all(
+    kv_store const& store, std::string const& prefix,
+    kv_store::callback<kv_listing> on_result);
+
+} // namespace sycamorespar
+
+#endif
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -14,7 +14,7 @@
       told_(std::move(told)), limits_(limits), pause_(limits.first_pause),
       alive_(std::make_shared<bool>(true))
 {
-    list({});
+    list();
 }
 
 prefix_watch::~prefix_watch() = default;
@@ -35,37 +35,26 @@
     pause_ = std::min(pause_ * 2, limits_.longest_pause);
 }
 
-void prefix_watch::list(std::string const& after_key)
+void prefix_watch::list()
 {
-    if (after_key.empty()) {
-        listed_.clear();
-        revision_ = 0;
-    }
     std::weak_ptr<bool> const guard = alive_;
-    store_.list(prefix_, after_key, [this, guard](auto const& page) {
+    list_all(store_, prefix_, [this, guard](auto const& listing) {
         if (!guard.expired())
-            take_page(page);
+            take_listing(listing);
     });
 }
 
-void prefix_watch::take_page(result<kv_page> const& page)
+void prefix_watch::take_listing(result<kv_listing> const& listing)
 {
-    if (!ok(page)) {
-        retry([this] { list({}); });
+    if (!ok(listing)) {
+        retry([this] { list(); });
         return;
     }
     answered();
-    auto const& read = value(page);
-    if (revision_ == 0)
-        revision_ = read.revision;
-    listed_.insert(listed_.end(), read.items.begin(), read.items.end());
-    if (read.has_more && !read.items.empty()) {
-        list(read.items.back().key);
-        return;
-    }
+    revision_ = value(listing).revision;
     is_listed_ = true;
     std::weak_ptr<bool> const guard = alive_;
-    told_.on_listed(std::exchange(listed_, {}));
+    told_.on_listed(value(listing).items);
     if (!guard.expired())
         watch();
 }
@@ -88,7 +77,7 @@
     }
     answered();
     if (value(seen).is_history_lost) {
-        list({});
+        list();
         return;
     }
     std::weak_ptr<bool> const guard = alive_;
--- a/src/store/prefix_watch.hpp
+++ b/src/store/prefix_watch.hpp
@@ -4,6 +4,7 @@
 
 #include "common/event_loop.hpp"
 #include "common/kv_store.hpp"
+#include "store/list_all.hpp"
 
 #include <chrono>
 #include <functional>
@@ -52,8 +53,8 @@
     monotonic_time heard_at() const { return heard_at_; }
 
 private:
-    void list(std::string const& after_key);
-    void take_page(result<kv_page> const& page);
+    void list();
+    void take_listing(result<kv_listing> const& listing);
     void watch();
     void take_changes(result<kv_changes> const& seen);
     void retry(std::function<void()> call);
@@ -64,7 +65,6 @@
     std::string prefix_;
     observer told_;
     prefix_watch_limits limits_;
-    std::vector<kv_item> listed_;
     kv_revision revision_ = 0;
     bool is_listed_ = false;
     monotonic_time heard_at_{};
--- a/src/store/watched_store.cpp
+++ b/src/store/watched_store.cpp
@@ -82,6 +82,9 @@
     passed.keep_lease = [this](auto lease, auto on_result) {
         inner_.keep_lease(lease, watched(std::move(on_result)));
     };
+    passed.end_lease = [this](auto lease, auto on_result) {
+        inner_.end_lease(lease, watched(std::move(on_result)));
+    };
     return passed;
 }
 
--- /dev/null
+++ b/tests/standins/kv/kv_service.hpp
@@ -0,0 +1,84 @@
+/// Serves the store in memory by the platform's protocol, with faults.
+#ifndef SYCAMORESPAR_TESTS_STANDINS_KV_KV_SERVICE_HPP
+#define SYCAMORESPAR_TESTS_STANDINS_KV_KV_SERVICE_HPP
+
+#include "common/event_loop.hpp"
+#include "common/http_server.hpp"
+#include "standins/kv/memory_kv.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace sycamorespar::standins {
+
+/// How the stand-in treats calls.
+enum class kv_mode : std::uint8_t
+{
+    /// Answers at once.
+    up,
+    /// Closes the connection without an answer and does nothing.
+    down,
+    /// Says 503 and does nothing.
+    busy,
+    /// Never answers and does nothing.
+    silent,
+    /// Does at once what is asked, and answers after a delay.
+    slow
+};
+
+/// The store's HTTP interface, with a control page for tests.
+/// POST /control takes {"mode": "up|down|busy|silent|slow", "delay_ms": N,
+/// "lose_answers": N, "expire_lease": ID}, each optional; GET /control/counts
+/// answers the calls by kind.
+class kv_service
+{
+public:
+    explicit kv_service(event_loop& loop);
+    kv_service(kv_service const&) = delete;
+    kv_service& operator=(kv_service const&) = delete;
+
+    /// Starts to listen; port 0 picks one.
+    result<endpoint> listen(endpoint const& where);
+    /// Applies settings as POST /control takes them.
+    result<done> control(nlohmann::json const& settings);
+    /// The calls so far, by the last part of their path.
+    std::map<std::string, std::uint64_t> const& counts() const
+    {
+        return counts_;
+    }
+    /// What is stored.
+    memory_kv& kv() { return kv_; }
+
+private:
+    void handle(exchange_id exchange, http_request const& request);
+    void handle_call(exchange_id exchange, http_request const& request);
+    void dispatch(
+        exchange_id exchange, http_request const& request,
+        nlohmann::json const& body);
+    void get(exchange_id exchange, std::string const& target);
+    void range(exchange_id exchange, std::string const& target);
+    void watch(exchange_id exchange, std::string const& target);
+    void write(exchange_id exchange, nlohmann::json const& body);
+    void grant(exchange_id exchange, nlohmann::json const& body);
+    void keep(exchange_id exchange, std::string const& id);
+    void end(exchange_id exchange, std::string const& id);
+    void answer(exchange_id exchange, int status, nlohmann::json const& body);
+    void
+    answer_write(exchange_id exchange, int status, nlohmann::json const& body);
+
+    event_loop& loop_;
+    memory_kv kv_;
+    kv_store store_;
+    kv_mode mode_ = kv_mode::up;
+    std::chrono::milliseconds delay_{0};
+    std::uint64_t answers_to_lose_ = 0;
+    std::map<std::string, std::uint64_t> counts_;
+    http_server server_;
+};
+
+} // namespace sycamorespar::standins
+
+#endif
--- a/tests/standins/store/main.cpp
+++ b/tests/standins/kv/main.cpp
@@ -1,6 +1,7 @@
-/// The stand-in for the platform's key-value service, as a program.
+/// The stand-in for the platform's store, as a program.
 #include "common/json_text.hpp"
-#include "standins/store/store_service.hpp"
+#include "standins/kv/kv_service.hpp"
+#include "standins/program.hpp"
 
 #include <boost/program_options.hpp>
 #include <csignal>
@@ -23,7 +24,7 @@
 
 int fail(std::string const& reason)
 {
-    fmt::print(stderr, "standin-store: {}\n", reason);
+    fmt::print(stderr, "standin-kv: {}\n", reason);
     return EXIT_FAILURE;
 }
 
@@ -41,20 +42,8 @@
     return given;
 }
 
-endpoint read_endpoint(std::string const& text)
-{
-    constexpr unsigned long max_port = 65535;
-    auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
-        throw std::invalid_argument("--listen takes ADDRESS:PORT");
-    auto const port = std::stoul(text.substr(colon + 1));
-    if (port > max_port)
-        throw std::invalid_argument("the port is too large");
-    return {text.substr(0, colon), static_cast<std::uint16_t>(port)};
-}
-
 result<done>
-apply_settings(standins::store_service& service, std::string const& file_name)
+apply_settings(standins::kv_service& service, std::string const& file_name)
 {
     std::ifstream file(file_name);
     std::string const text{std::istreambuf_iterator<char>(file), {}};
@@ -64,31 +53,19 @@
     return service.control(value(settings));
 }
 
-// Renames the finished file into place, so that a reader sees all or nothing.
-bool write_port(std::string const& file_name, endpoint const& where)
-{
-    std::string const partial = file_name + ".partial";
-    {
-        std::ofstream file(partial);
-        file << where.port << '\n';
-    }
-    return std::rename(partial.c_str(), file_name.c_str()) == 0;
-}
-
 int serve(arguments const& given)
 {
     event_loop loop;
-    standins::store_service service(loop);
+    standins::kv_service service(loop);
     if (!given.settings_file.empty()) {
         auto const applied = apply_settings(service, given.settings_file);
         if (!ok(applied))
             return fail(failure(applied).reason);
     }
-    auto const where = service.listen(read_endpoint(given.listen));
+    auto const where = service.listen(standins::parse_endpoint(given.listen));
     if (!ok(where))
         return fail(failure(where).reason);
-    if (!given.port_file.empty() && !write_port(given.port_file, value(where)))
-        return fail("can't write the port file");
+    standins::write_port_file(given.port_file, value(where).port);
     loop.on_signal(SIGTERM, [&loop] { loop.stop(); });
     loop.on_signal(SIGINT, [&loop] { loop.stop(); });
     loop.run();
--- a/tests/standins/kv/memory_kv.cpp
+++ b/tests/standins/kv/memory_kv.cpp
@@ -56,12 +56,14 @@
     };
     made.watch = [this](
                      std::string const& prefix, kv_revision after,
-                     std::chrono::milliseconds, auto on_result) {
+                     std::chrono::milliseconds wait, auto on_result) {
         if (is_down) {
             answer<kv_changes>(std::move(on_result), kv_changes{});
             return;
         }
-        watches_.push_back({prefix, after, std::move(on_result)});
+        auto const id = ++last_watch_;
+        watches_.push_back({id, prefix, after, std::move(on_result)});
+        loop_.after(wait, [this, id] { end_wait(id); });
         answer_watches();
     };
     made.write = [this](kv_write const& write, auto on_result) {
@@ -69,7 +71,7 @@
             answer<kv_written>(std::move(on_result), kv_written{});
             return;
         }
-        auto const written = apply(write);
+        auto const written = this->write(write);
         if (lost_answers > 0) {
             --lost_answers;
             answer<kv_written>(
@@ -80,18 +82,40 @@
         answer<kv_written>(std::move(on_result), written);
     };
     made.grant_lease = [this](std::chrono::milliseconds ttl, auto on_result) {
-        answer<kv_lease>(
-            std::move(on_result), kv_lease{kv_lease_id{++leases_}, ttl});
+        answer<kv_lease>(std::move(on_result), grant(ttl));
     };
-    made.keep_lease = [this](kv_lease_id, auto on_result) {
-        answer<bool>(std::move(on_result), true);
+    made.keep_lease = [this](kv_lease_id lease, auto on_result) {
+        answer<bool>(std::move(on_result), keep(lease));
+    };
+    made.end_lease = [this](kv_lease_id lease, auto on_result) {
+        answer<bool>(std::move(on_result), end_lease(lease));
     };
     return made;
 }
 
+result<kv_written> memory_kv::write(kv_write const& what)
+{
+    auto const refuse = [](char const* reason) {
+        return error{"store.write", "store", reason, outcome::not_run};
+    };
+    if (what.size() > max_kv_write_size)
+        return refuse("too many entries");
+    for (auto const& each : what.puts) {
+        if (each.value.size() > default_value_limit)
+            return refuse("value is too large");
+    }
+    return apply(what);
+}
+
 kv_written memory_kv::apply(kv_write const& write)
 {
     kv_written written;
+    for (auto const& each : write.puts) {
+        if (each.lease.value != 0 && !leases_.contains(each.lease))
+            written.is = kv_written::verdict::lease_ended;
+    }
+    if (written.is == kv_written::verdict::lease_ended)
+        return written;
     for (auto const& each : write.expected) {
         auto const found = items_.find(each.key);
         auto const revision =
@@ -111,18 +135,85 @@
         item.revision = revision_;
         if (item.created == 0)
             item.created = revision_;
+        lease_of_key_[each.key] = each.lease;
         note({item, false});
     }
-    for (auto const& key : write.removals) {
-        if (items_.erase(key) > 0)
-            note({{key, "", revision_, 0}, true});
-    }
+    for (auto const& key : write.removals)
+        remove_key(key);
     written.current.clear();
     written.revision = revision_;
     answer_watches();
     return written;
 }
 
+void memory_kv::remove_key(std::string const& key)
+{
+    lease_of_key_.erase(key);
+    if (items_.erase(key) > 0)
+        note({{key, "", revision_, 0}, true});
+}
+
+kv_lease memory_kv::grant(std::chrono::milliseconds ttl)
+{
+    kv_lease_id const id{++last_lease_};
+    leases_[id] = {ttl, event_loop::now() + ttl};
+    expire_later(ttl);
+    return {id, ttl};
+}
+
+bool memory_kv::keep(kv_lease_id lease)
+{
+    expire(event_loop::now());
+    auto const found = leases_.find(lease);
+    if (found == leases_.end())
+        return false;
+    found->second.ends_at = event_loop::now() + found->second.ttl;
+    expire_later(found->second.ttl);
+    return true;
+}
+
+void memory_kv::expire_later(std::chrono::milliseconds ttl)
+{
+    loop_.after(ttl + std::chrono::milliseconds(1), [this] {
+        expire(event_loop::now());
+    });
+}
+
+void memory_kv::expire(monotonic_time now)
+{
+    std::vector<kv_lease_id> over;
+    for (auto const& [id, lease] : leases_) {
+        if (lease.ends_at <= now)
+            over.push_back(id);
+    }
+    for (auto const& id : over)
+        end_lease(id);
+}
+
+bool memory_kv::end_lease(kv_lease_id lease)
+{
+    if (leases_.erase(lease) == 0)
+        return false;
+    std::vector<std::string> keys;
+    for (auto const& [key, held_by] : lease_of_key_) {
+        if (held_by == lease)
+            keys.push_back(key);
+    }
+    if (keys.empty())
+        return true;
+    ++revision_;
+    for (auto const& key : keys)
+        remove_key(key);
+    answer_watches();
+    return true;
+}
+
+kv_lease_id memory_kv::lease_of(std::string const& key) const
+{
+    auto const found = lease_of_key_.find(key);
+    return found == lease_of_key_.end() ? kv_lease_id{} : found->second;
+}
+
 void memory_kv::note(kv_change change)
 {
     history_.push_back(std::move(change));
@@ -158,6 +249,18 @@
     return seen;
 }
 
+void memory_kv::end_wait(std::uint64_t watch)
+{
+    auto const found = std::find_if(
+        watches_.begin(), watches_.end(),
+        [watch](waiting_watch const& each) { return each.id == watch; });
+    if (found == watches_.end())
+        return;
+    auto const seen = changes_after(found->prefix, found->after);
+    answer<kv_changes>(std::move(found->on_result), seen);
+    watches_.erase(found);
+}
+
 void memory_kv::answer_watches()
 {
     auto waiting = std::exchange(watches_, {});
--- a/tests/standins/kv/memory_kv.hpp
+++ b/tests/standins/kv/memory_kv.hpp
@@ -5,6 +5,8 @@
 #include "common/event_loop.hpp"
 #include "common/kv_store.hpp"
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -13,6 +15,9 @@
 
 namespace sycamorespar::standins {
 
+/// The largest value, in bytes.
+inline constexpr std::size_t default_value_limit = 1024 * 1024;
+
 /// Answers from the event loop, never inside a call.
 class memory_kv
 {
@@ -30,6 +35,14 @@
     std::map<std::string, kv_item> const& items() const { return items_; }
     /// Drops all history: waiting watches must list again.
     void drop_history();
+    /// Ends the leases that are over at this time, with their keys.
+    void expire(monotonic_time now);
+    /// Ends a lease, with its keys; false where it has ended before.
+    bool end_lease(kv_lease_id lease);
+    /// The lease of a key; zero for none.
+    kv_lease_id lease_of(std::string const& key) const;
+    /// The count of changes.
+    kv_revision revision() const { return revision_; }
 
     /// Calls fail, and nothing was done.
     bool is_down = false;
@@ -41,8 +54,14 @@
     std::uint64_t calls = 0;
 
 private:
+    struct live_lease
+    {
+        std::chrono::milliseconds ttl{0};
+        monotonic_time ends_at{};
+    };
     struct waiting_watch
     {
+        std::uint64_t id = 0;
         std::string prefix;
         kv_revision after = 0;
         kv_store::callback<kv_changes> on_result;
@@ -51,6 +70,12 @@
     template<class T>
     void answer(kv_store::callback<T> on_result, result<T> what);
     kv_written apply(kv_write const& write);
+    void remove_key(std::string const& key);
+    result<kv_written> write(kv_write const& what);
+    void end_wait(std::uint64_t watch);
+    kv_lease grant(std::chrono::milliseconds ttl);
+    bool keep(kv_lease_id lease);
+    void expire_later(std::chrono::milliseconds ttl);
     void note(kv_change change);
     kv_changes changes_after(std::string const& prefix, kv_revision after);
     void answer_watches();
@@ -60,7 +85,10 @@
     std::vector<kv_change> history_;
     kv_revision history_from_ = 0;
     kv_revision revision_ = 1;
-    std::uint64_t leases_ = 0;
+    std::uint64_t last_lease_ = 0;
+    std::map<kv_lease_id, live_lease> leases_;
+    std::map<std::string, kv_lease_id> lease_of_key_;
+    std::uint64_t last_watch_ = 0;
     std::vector<waiting_watch> watches_;
 };
 
