Fill workers with serving tasks, and place fillers with more care

Change: a serving task goes where fillers lose the least idle processors that they may be expected to be lent, by the number of images on the worker. Fillers are placed with a full deviation of caution in place of 0.3, moved when they are held below 60% for 0.4 s in place of 35% for 0.7 s, and paced to 0.92 of the target with 0.4 deviations in place of 0.85 with 0.7.

The new test fails without the change: three workers were used.

--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -65,10 +65,10 @@
     /// time that its work would take on this many thousandths of a core.
     std::int64_t turn_millicores = 4000;
     /// A filler that is held back below this part of its speed, in percent...
-    std::uint32_t slow_pace = 35;
+    std::uint32_t slow_pace = 60;
     /// ...for this long moves to a worker that bears it, if it keeps what it
     /// has saved.
-    std::chrono::milliseconds slow_patience{700};
+    std::chrono::milliseconds slow_patience{400};
     /// A worker on which a task stands still gets no new ones for this long.
     std::chrono::milliseconds stall_rest{2000};
     /// A worker without room for a task is not asked again for this long.
--- a/src/libsycamorespar/pace_control.hpp
+++ b/src/libsycamorespar/pace_control.hpp
@@ -19,9 +19,9 @@
 {
     /// The part of a serving task's target that its tail is held below; the
     /// rest is for its load, which moves while the figures are on their way.
-    double aim = 0.85;
+    double aim = 0.92;
     /// Deviations of an estimate that count as harm.
-    double caution = 0.7;
+    double caution = 0.4;
     /// A target that is missed for this long stops the fillers.
     std::chrono::milliseconds patience{2000};
     /// A filler's first full speed shows in the figures for this long.
--- a/src/libsycamorespar/worker_book.cpp
+++ b/src/libsycamorespar/worker_book.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <utility>
 
 namespace sycamorespar {
@@ -14,17 +15,20 @@
 /// the same unit as the free part of a worker.
 constexpr double rack_bonus = 1.0;
 
-/// What a serving neighbour of the same image is worth, in parts of a whole
-/// worker: what harms one harms all of them, so that fillers that harm them
-/// find other workers. More than the part of a worker that a task takes, so
-/// that a worker is filled before the next is begun.
-constexpr double same_image_bonus = 0.6;
+/// The part of all fillers that one more serving image on a worker is thought
+/// to bear: what harms one task of an image harms all of them.
+constexpr double harmless_share = 0.35;
+
+/// Breaks ties between workers that lose as much room for fillers: the fuller
+/// one is filled up first.
+constexpr double fill_up = 0.05;
 
 /// The part of its target that a serving task's tail may be planned to reach.
 constexpr double bearable_tail = 0.85;
 
-/// Deviations of an estimate that count as harm.
-constexpr double caution = 0.3;
+/// Deviations of an estimate that count as harm. A filler in the wrong place
+/// costs its neighbours and itself; one that waits a little costs little.
+constexpr double caution = 1.0;
 
 /// A filler that a worker bears this many times over is as good as harmless.
 constexpr double most_bearable = 3.0;
@@ -93,15 +97,31 @@
         }));
 }
 
-/// How well a task with users of its own suits the tasks on a worker.
-double company_of(booked_worker const& worker, placement_query const& query)
+/// The processors, in thousandths, that a worker with this many serving images
+/// may be expected to lend to fillers.
+double
+lendable(booked_worker const& worker, std::size_t images, std::int64_t reserved)
+{
+    auto const idle = static_cast<double>(worker.facts.capacity.millicores) -
+                      usual_use * static_cast<double>(reserved);
+    return idle * std::pow(harmless_share, static_cast<double>(images));
+}
+
+/// What fillers lose by a serving task, in parts of what the task reserves.
+double filler_loss(booked_worker const& worker, placement_query const& query)
 {
-    double total = 0.0;
+    std::set<std::string> images;
     for (auto const& [run, placed] : worker.runs) {
-        if (placed.facts.image == query.image)
-            total += same_image_bonus;
+        if (placed.facts.target.count() > 0)
+            images.insert(placed.facts.image);
     }
-    return total;
+    auto const reserved = worker.reserved().millicores;
+    auto const before = lendable(worker, images.size(), reserved);
+    images.insert(query.image);
+    auto const after =
+        lendable(worker, images.size(), reserved + query.need.millicores);
+    auto const need = std::max(query.need.millicores, std::int64_t{1});
+    return (before - after) / static_cast<double>(need);
 }
 
 bool may_take_work(
@@ -226,16 +246,16 @@
     booked_worker const& worker, placement_query const& query,
     monotonic_time now) const
 {
-    double total = query.fills ? bearable_part(worker, query, now) -
-                                     idle_use(worker, query)
-                               : free_part(worker);
+    double total = free_part(worker);
+    if (query.fills)
+        total = bearable_part(worker, query, now) - idle_use(worker, query);
+    else if (query.serves)
+        total = -filler_loss(worker, query) - fill_up * free_part(worker);
     if (!query.preferred_rack.value.empty() &&
         worker.has_label(query.preferred_rack.value))
         total += rack_bonus;
     if (worker.progress.is_slow(now))
         total -= slow_cost;
-    if (query.serves)
-        total += company_of(worker, query);
     return total;
 }
 
--- a/tests/graph_scheduler_test.cpp
+++ b/tests/graph_scheduler_test.cpp
@@ -621,3 +621,34 @@
     w.plan();
     CHECK(w.scheduler.take_forgotten_workers().size() == 1);
 }
+
+TEST_CASE("serving tasks leave whole workers to fillers")
+{
+    // The load: serving tasks of a few images, and fillers that most of them
+    // don't bear. Spread out, they leave no worker on which a filler may run.
+    world w;
+    test_runner a("a", {16'000, 64'000, 0});
+    test_runner b("b", {16'000, 64'000, 0});
+    test_runner c("c", {16'000, 64'000, 0});
+    for (auto* each : {&a, &b, &c})
+        each->join(w.scheduler, w.now);
+    auto serving = test_step(1, {3000, 1000, 0});
+    serving.long_running = true;
+    serving.target = 18ms;
+    for (auto const* image : {"x", "y", "z", "x"}) {
+        serving.image = image;
+        auto const id = "job" + std::to_string(w.scheduler.open_jobs());
+        w.add(test_job(id, "urgent", serving));
+        w.plan();
+    }
+    std::set<std::string> used;
+    std::size_t started = 0;
+    for (auto* each : {&a, &b, &c}) {
+        auto const starts = starts_in(each->exchange(w.scheduler, w.now));
+        started += starts.size();
+        if (!starts.empty())
+            used.insert(each->report.worker.value);
+    }
+    CHECK(started == 4);
+    CHECK(used.size() == 1);
+}
