Log decisions to standard output without waiting, and serve metrics

Cause: an on-call engineer had no line for an accepted job, a start, an end or a refusal, and nothing listened on the metrics address. Lines went to standard error by blocking writes, and a store that was down for 9 s filled the log with the same line each 66 ms.

Change: log_writer never waits for its reader; lines beyond 256 KiB of backlog are left out and counted. Errors of calls that are repeated until they succeed are written once a second with the count of those left out (repeat_filter); what a caller was told and what became of a job always is. Lines carry the machine. Both programs serve /metrics: answers and refusals by reason, acceptance and record write latencies, waiting tasks by priority, runs by how they ended, workers by state, office, configuration's age, starts and stops by result, lease left.

--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -1,9 +1,13 @@
 /// Log lines for people and programs: key=value, quoted where needed.
 #include "common/log.hpp"
 
+#include "common/event_loop.hpp"
+#include "common/log_writer.hpp"
+#include "libsycamorespar/repeat_filter.hpp"
+
 #include <chrono>
-#include <cstdio>
 #include <fmt/chrono.h>
+#include <unistd.h>
 
 namespace sycamorespar {
 
@@ -11,6 +15,19 @@
 
 log_level lowest_level = log_level::info;
 std::string program_name = "spar";
+std::string machine_field;
+
+log_writer& writer()
+{
+    static log_writer lines(STDOUT_FILENO);
+    return lines;
+}
+
+repeat_filter& repeats()
+{
+    static repeat_filter filter;
+    return filter;
+}
 
 char const* level_name(log_level level)
 {
@@ -58,6 +75,11 @@
     program_name = std::move(name);
 }
 
+void set_log_machine(std::string name)
+{
+    machine_field = " machine=" + quoted(name);
+}
+
 result<log_level> parse_log_level(std::string const& text)
 {
     for (auto const level :
@@ -78,13 +100,13 @@
     auto const now = std::chrono::time_point_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now());
     std::string line = fmt::format(
-        "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} program={} event={}",
+        "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} program={}{} event={}",
         fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
         now.time_since_epoch().count() % 1000, level_name(level), program_name,
-        event);
+        machine_field, event);
     for (auto const& field : fields)
         line += fmt::format(" {}={}", field.key, quoted(field.value));
-    fmt::print(stderr, "{}\n", line);
+    writer().write(std::move(line));
 }
 
 void log_error(std::string_view event, error const& what)
@@ -94,4 +116,16 @@
         {{"step", what.step}, {"peer", what.peer}, {"reason", what.reason}});
 }
 
+void log_repeated_error(std::string_view event, error const& what)
+{
+    auto const left_out = repeats().pass(std::string(event), event_loop::now());
+    if (left_out)
+        log_event(
+            log_level::error, event,
+            {{"step", what.step},
+             {"peer", what.peer},
+             {"reason", what.reason},
+             {"left_out", *left_out}});
+}
+
 } // namespace sycamorespar
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -1,4 +1,4 @@
-/// Levelled log lines on standard error: one event a line, key=value.
+/// Levelled log lines on standard output: one event a line, key=value.
 #ifndef SYCAMORESPAR_COMMON_LOG_HPP
 #define SYCAMORESPAR_COMMON_LOG_HPP
 
@@ -51,6 +51,9 @@
 /// Sets the program's name, written on each line.
 void set_log_program(std::string name);
 
+/// Sets the machine's name, written on each line; none before.
+void set_log_machine(std::string name);
+
 /// Reads "debug", "info", "warning" or "error".
 result<log_level> parse_log_level(std::string const& text);
 
@@ -62,6 +65,11 @@
 /// Writes an error with its step, peer and reason.
 void log_error(std::string_view event, error const& what);
 
+/// Writes an error of a call that is repeated until it succeeds, at most once
+/// a second for each event, with the count of those left out between. Not for
+/// what a caller was told or what became of a job.
+void log_repeated_error(std::string_view event, error const& what);
+
 } // namespace sycamorespar
 
 #endif
--- /dev/null
+++ b/src/common/log_writer.cpp
@@ -0,0 +1,64 @@
+/// A process that waits for the reader of its log holds up everybody it
+/// serves; a line that is left out holds up nobody.
+#include "common/log_writer.hpp"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <fmt/core.h>
+#include <unistd.h>
+
+namespace sycamorespar {
+
+log_writer::log_writer(int descriptor, std::size_t backlog)
+    : descriptor_(descriptor), backlog_(backlog)
+{
+    // A terminal is shared with the shell, which doesn't expect the flag.
+    if (isatty(descriptor) != 0)
+        return;
+    int const flags = fcntl(descriptor, F_GETFL);
+    if (flags >= 0)
+        fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+void log_writer::append(std::string const& line)
+{
+    waiting_ += line;
+    waiting_ += '\n';
+}
+
+void log_writer::write(std::string line)
+{
+    flush();
+    if (waiting_.size() + line.size() >= backlog_) {
+        ++left_out_;
+        ++unreported_;
+        return;
+    }
+    if (unreported_ > 0) {
+        append(fmt::format(
+            "level=warning event=log_lines_left_out count={}", unreported_));
+        unreported_ = 0;
+    }
+    append(line);
+    flush();
+}
+
+void log_writer::flush()
+{
+    while (!waiting_.empty()) {
+        auto const written =
+            ::write(descriptor_, waiting_.data(), waiting_.size());
+        if (written > 0) {
+            waiting_.erase(0, static_cast<std::size_t>(written));
+            continue;
+        }
+        if (written < 0 && errno == EINTR)
+            continue;
+        // A reader that is gone for good takes nothing any more.
+        if (written < 0 && errno != EAGAIN && errno != EWOULDBLOCK)
+            waiting_.clear();
+        return;
+    }
+}
+
+} // namespace sycamorespar
--- a/src/libsycamorespar/graph_progress.cpp
+++ b/src/libsycamorespar/graph_progress.cpp
@@ -39,6 +39,23 @@
            phase == job_phase::cancelled;
 }
 
+char const* to_string(job_phase phase)
+{
+    switch (phase) {
+    case job_phase::queued:
+        return "queued";
+    case job_phase::running:
+        return "running";
+    case job_phase::completed:
+        return "completed";
+    case job_phase::failed:
+        return "failed";
+    case job_phase::cancelled:
+        return "cancelled";
+    }
+    return "queued";
+}
+
 graph_progress::graph_progress(job_graph graph, std::uint32_t max_failures)
     : graph_(std::move(graph)), max_failures_(std::max(max_failures, 1U))
 {
--- a/src/libsycamorespar/graph_progress.hpp
+++ b/src/libsycamorespar/graph_progress.hpp
@@ -30,6 +30,9 @@
 /// True where no task of the job starts again.
 bool is_final(job_phase phase);
 
+/// A name for records and logs.
+char const* to_string(job_phase phase);
+
 /// A task as its job sees it.
 struct task_progress
 {
--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -141,6 +141,7 @@
     if (found == nullptr || is_final(found->progress.phase()))
         return;
     found->progress.cancel();
+    note_job_end(*found);
     stop_live_runs(*found);
     mark_changed(job);
 }
@@ -300,8 +301,10 @@
     if (job->progress.version() == before)
         return;
     mark_changed(run.task.job);
-    if (is_final(job->progress.phase()))
-        stop_live_runs(*job);
+    if (!is_final(job->progress.phase()))
+        return;
+    note_job_end(*job);
+    stop_live_runs(*job);
 }
 
 void graph_scheduler::take_runs(
@@ -396,10 +399,15 @@
         return;
     job->live.erase(run);
     job->idle_since = now;
+    bool const had_ended = is_final(job->progress.phase());
+    ++counts_.ended[how];
+    notes_.push_back({schedule_note::kind::run_ended, run, worker.id, how, {}});
     note_health(worker, run, how, now);
     auto const due = job->progress.end_run(run, how, checkpoint);
     mark_changed(run.task.job);
     if (is_final(job->progress.phase())) {
+        if (!had_ended)
+            note_job_end(*job);
         stop_live_runs(*job);
         return;
     }
@@ -697,6 +705,9 @@
 {
     auto const placed = place_of(job, run.task);
     job.live.emplace(run, worker.id);
+    ++counts_.ordered;
+    notes_.push_back(
+        {schedule_note::kind::run_ordered, run, worker.id, {}, {}});
     auto hints = placed.facts.fills
                      ? workers_.hints_for(worker, placed.facts.image)
                      : std::vector<harm_hint>{};
@@ -766,6 +777,28 @@
         }));
 }
 
+void graph_scheduler::note_job_end(job_entry const& job)
+{
+    auto const phase = job.progress.phase();
+    ++counts_.jobs_ended[phase];
+    run_id run;
+    run.task.job = job.progress.graph().id;
+    notes_.push_back({schedule_note::kind::job_ended, run, {}, {}, phase});
+}
+
+std::vector<schedule_note> graph_scheduler::take_notes()
+{
+    return std::exchange(notes_, {});
+}
+
+std::map<std::int32_t, std::size_t> graph_scheduler::waiting_by_priority() const
+{
+    std::map<std::int32_t, std::size_t> counts;
+    for (auto const& each : waiting_)
+        ++counts[each.priority];
+    return counts;
+}
+
 std::size_t graph_scheduler::open_jobs() const
 {
     return static_cast<std::size_t>(
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -87,6 +87,42 @@
     graph_snapshot snapshot;
 };
 
+/// What the scheduler decided or learned, for logs.
+struct schedule_note
+{
+    /// What happened.
+    enum class kind : std::uint8_t
+    {
+        /// A run was ordered.
+        run_ordered,
+        /// A run has ended, or is known never to have begun.
+        run_ended,
+        /// A job has ended; its record is yet to be written.
+        job_ended
+    };
+    /// What happened.
+    kind is = kind::run_ordered;
+    /// The run; only its job where a job ended.
+    run_id run;
+    /// The worker of the run.
+    worker_id worker;
+    /// How the run ended.
+    run_end how = run_end::lost;
+    /// How the job ended.
+    job_phase phase = job_phase::queued;
+};
+
+/// What the scheduler counts, for metrics.
+struct schedule_counts
+{
+    /// Runs ordered.
+    std::uint64_t ordered = 0;
+    /// Runs ended, by how.
+    std::map<run_end, std::uint64_t> ended;
+    /// Jobs ended, by how.
+    std::map<job_phase, std::uint64_t> jobs_ended;
+};
+
 /// The scheduler of all jobs, while it holds the office. Reports go in, orders
 /// and records come out; time is handed in.
 class graph_scheduler
@@ -155,6 +191,12 @@
     std::size_t waiting_tasks() const { return waiting_.size(); }
     /// The workers, for metrics and tests.
     worker_book const& workers() const { return workers_; }
+    /// What was decided or learned since the last call, oldest first.
+    std::vector<schedule_note> take_notes();
+    /// What happened so far.
+    schedule_counts const& counts() const { return counts_; }
+    /// Tasks that wait for a place, by the priority of their queue.
+    std::map<std::int32_t, std::size_t> waiting_by_priority() const;
     /// True where every recorded worker is accounted for.
     bool is_settled() const { return unsettled_.empty(); }
 
@@ -186,6 +228,7 @@
     void stop_live_runs(job_entry const& job);
     void stop_copies(job_entry const& job, task_id const& task);
     void mark_changed(job_id const& job);
+    void note_job_end(job_entry const& job);
     void end_run(
         booked_worker& worker, run_id const& run, run_end how,
         std::string const& checkpoint, monotonic_time now);
@@ -238,6 +281,8 @@
     std::set<job_id> is_changed_;
     std::set<job_id> on_schedule_;
     std::uint64_t sessions_ = 0;
+    std::vector<schedule_note> notes_;
+    schedule_counts counts_;
 };
 
 } // namespace sycamorespar
--- /dev/null
+++ b/src/libsycamorespar/repeat_filter.hpp
@@ -0,0 +1,42 @@
+/// Thins out events that repeat while their cause lasts.
+#ifndef SYCAMORESPAR_REPEAT_FILTER_HPP
+#define SYCAMORESPAR_REPEAT_FILTER_HPP
+
+#include "libsycamorespar/clock.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace sycamorespar {
+
+/// Lets one event of each name pass in a span and counts the others.
+class repeat_filter
+{
+public:
+    explicit repeat_filter(
+        std::chrono::milliseconds span = std::chrono::seconds(1))
+        : span_(span)
+    {}
+
+    /// \return how many of this name were left out since the last that passed;
+    /// none where this one is to be left out as well.
+    std::optional<std::uint64_t>
+    pass(std::string const& name, monotonic_time now);
+
+private:
+    struct seen
+    {
+        monotonic_time passed_at{};
+        std::uint64_t left_out = 0;
+    };
+
+    std::chrono::milliseconds span_;
+    std::map<std::string, seen> seen_;
+};
+
+} // namespace sycamorespar
+
+#endif
--- a/src/records/graph_json.cpp
+++ b/src/records/graph_json.cpp
@@ -67,29 +67,12 @@
     return step;
 }
 
-char const* phase_name(job_phase phase)
-{
-    switch (phase) {
-    case job_phase::queued:
-        return "queued";
-    case job_phase::running:
-        return "running";
-    case job_phase::completed:
-        return "completed";
-    case job_phase::failed:
-        return "failed";
-    case job_phase::cancelled:
-        return "cancelled";
-    }
-    return "queued";
-}
-
 job_phase read_phase(std::string const& name)
 {
     for (auto const phase :
          {job_phase::queued, job_phase::running, job_phase::completed,
           job_phase::failed, job_phase::cancelled}) {
-        if (name == phase_name(phase))
+        if (name == to_string(phase))
             return phase;
     }
     throw std::invalid_argument("not a phase: " + name);
@@ -158,7 +141,7 @@
             {task.occurrence, task.step, task.index, task.is_done,
              task.last_run, task.failed_runs, task.checkpoint}));
     json const out = {
-        {"phase", phase_name(progress.phase)},
+        {"phase", to_string(progress.phase)},
         {"first_open", progress.first_open},
         {"tasks", std::move(tasks)}};
     return out.dump();
--- a/src/records/record_writer.cpp
+++ b/src/records/record_writer.cpp
@@ -103,9 +103,15 @@
     is_busy_ = true;
     ++writes_;
     std::weak_ptr<bool> const guard = alive_;
-    store_.write(next.write, [this, guard, next](auto const& written) {
-        if (!guard.expired())
-            take_result(next, written);
+    auto const sent_at = event_loop::now();
+    store_.write(next.write, [this, guard, next, sent_at](auto const& written) {
+        if (guard.expired())
+            return;
+        if (ok(written))
+            write_times_.record(
+                std::chrono::duration_cast<std::chrono::microseconds>(
+                    event_loop::now() - sent_at));
+        take_result(next, written);
     });
 }
 
@@ -172,7 +178,7 @@
 {
     is_wanted_ = true;
     if (!ok(written)) {
-        log_error("records_not_written", failure(written));
+        log_repeated_error("records_not_written", failure(written));
         give_back(sent);
         write_after(limits_.retry);
         return;
--- a/src/records/record_writer.hpp
+++ b/src/records/record_writer.hpp
@@ -5,6 +5,7 @@
 #include "common/event_loop.hpp"
 #include "common/kv_store.hpp"
 #include "libsycamorespar/graph_scheduler.hpp"
+#include "libsycamorespar/latency_histogram.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -74,6 +75,8 @@
     void wake();
     /// Writes so far.
     std::uint64_t writes() const { return writes_; }
+    /// How long the store took for those that it carried out.
+    latency_histogram const& write_times() const { return write_times_; }
 
 private:
     struct batch
@@ -110,6 +113,7 @@
     bool is_busy_ = false;
     bool is_wanted_ = false;
     std::uint64_t writes_ = 0;
+    latency_histogram write_times_;
     std::shared_ptr<bool> alive_;
 };
 
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -46,7 +46,11 @@
       link_(
           loop_, store_, keeper_, settings_.schedulers,
           [this](run_id const& run) { return pacing_.pace_of(run); },
-          [this] { call_worker(); })
+          [this] { call_worker(); }),
+      metrics_(loop_, [this] {
+          return render_runner_metrics(
+              counts_, keeper_, link_.answered(), event_loop::now());
+      })
 {}
 
 runner_daemon::~runner_daemon() = default;
@@ -56,13 +60,16 @@
     auto const listening = announcements_.listen(settings_.announcements);
     if (!ok(listening))
         return failure(listening);
+    auto const metrics = metrics_.listen(settings_.metrics);
+    if (!ok(metrics))
+        return metrics;
     loop_.on_signal(SIGTERM, [this] { loop_.stop(); });
     loop_.on_signal(SIGINT, [this] { loop_.stop(); });
     loop_.on_signal(
         SIGHUP, [] { log_event(log_level::info, "settings_kept"); });
     loop_.every(tick_period, [this] { tick(); });
-    log_event(
-        log_level::info, "started", {{"machine", settings_.machine.value}});
+    set_log_machine(settings_.machine.value);
+    log_event(log_level::info, "started");
     loop_.run();
     log_event(log_level::info, "stopped");
     return done{};
@@ -130,6 +137,7 @@
     keeper_.on_token_refused(token);
     if (!keeper_.needs_new_token())
         return;
+    ++counts_.refused_tokens;
     log_event(log_level::warning, "token_refused", {{"token", token}});
     keeper_.begin_session(incarnation{random_seed()});
     link_.wake();
@@ -141,16 +149,22 @@
         pacing_.take_hints(call.order.hints);
         worker_.start(
             keeper_.facts().life, call,
-            [this, run = call.order.run,
-             token = call.token](platform::order_answer const& answer) {
+            [this, run = call.order.run, token = call.token,
+             deadline = call.deadline](platform::order_answer const& answer) {
                 keeper_.on_start_result(
                     run, answer.result, answer.at, event_loop::now());
-                if (answer.result != call_outcome::accepted)
-                    log_event(
-                        log_level::warning, "start_not_accepted",
-                        {{"task", to_string(run.task)},
-                         {"run", run.number},
-                         {"result", to_string(answer.result)}});
+                ++counts_.starts[answer.result];
+                bool const is_accepted =
+                    answer.result == call_outcome::accepted;
+                log_event(
+                    is_accepted ? log_level::info : log_level::warning,
+                    is_accepted ? "run_started" : "start_not_accepted",
+                    {{"task", to_string(run.task)},
+                     {"run", run.number},
+                     {"result", to_string(answer.result)},
+                     {"token", token},
+                     {"void_after_ms", deadline.count()},
+                     {"worker_ms", answer.at.count()}});
                 note_token(answer.result, token);
                 send_starts();
                 pace();
@@ -168,6 +182,7 @@
              token = call.token](platform::order_answer const& answer) {
                 keeper_.on_stop_result(
                     run, answer.result, answer.at, event_loop::now());
+                ++counts_.stops[answer.result];
                 note_token(answer.result, token);
             });
     }
@@ -190,6 +205,7 @@
 void runner_daemon::take_look(
     hold_call const& call, platform::look_answer const& answer)
 {
+    ++(answer.listing ? counts_.looks : counts_.failed_looks);
     if (!answer.listing) {
         keeper_.on_look_failed(event_loop::now());
         note_token(answer.result, call.token);
@@ -238,13 +254,15 @@
 
 void runner_daemon::pace()
 {
-    for (auto const& change : pacing_.take_changes(keeper_.runs()))
+    for (auto const& change : pacing_.take_changes(keeper_.runs())) {
+        ++counts_.paces;
         worker_.pace(
             keeper_.facts().life, change.run, change.percent, keeper_.token(),
             [this, change](platform::order_answer const& answer) {
                 pacing_.on_paced(
                     change, answer.result == call_outcome::accepted);
             });
+    }
 }
 
 void runner_daemon::tick()
--- a/src/spar-runner/runner_daemon.hpp
+++ b/src/spar-runner/runner_daemon.hpp
@@ -4,10 +4,12 @@
 
 #include "common/event_loop.hpp"
 #include "common/http_server.hpp"
+#include "common/metrics_endpoint.hpp"
 #include "libsycamorespar/pace_control.hpp"
 #include "libsycamorespar/run_keeper.hpp"
 #include "platform/kv_client.hpp"
 #include "platform/worker_client.hpp"
+#include "spar-runner/runner_metrics.hpp"
 #include "spar-runner/runner_settings.hpp"
 #include "spar-runner/scheduler_link.hpp"
 
@@ -49,6 +51,8 @@
     http_server announcements_;
     pace_control pacing_;
     scheduler_link link_;
+    metrics_endpoint metrics_;
+    runner_counts counts_;
     bool is_looking_ = false;
 };
 
--- a/src/spar-runner/scheduler_link.cpp
+++ b/src/spar-runner/scheduler_link.cpp
@@ -85,7 +85,7 @@
     std::uint64_t sequence, result<http_response> const& answer)
 {
     if (!ok(answer)) {
-        log_error("report_unanswered", failure(answer));
+        log_repeated_error("report_unanswered", failure(answer));
         find_holder();
         return;
     }
@@ -198,7 +198,7 @@
 void scheduler_link::take_office(result<std::optional<kv_item>> const& found)
 {
     if (!ok(found)) {
-        log_error("office_not_read", failure(found));
+        log_repeated_error("office_not_read", failure(found));
         try_next_scheduler();
         return;
     }
--- a/src/spar-scheduler/caller_front.cpp
+++ b/src/spar-scheduler/caller_front.cpp
@@ -22,6 +22,12 @@
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
 
+/// Reasons for a refusal, for logs and metrics.
+constexpr char const* no_configuration = "no_configuration";
+constexpr char const* store_lost = "store_lost";
+constexpr char const* store_refused = "store_refused";
+constexpr char const* no_holder = "no_holder";
+
 http_client_limits peer_limits(std::chrono::milliseconds timeout)
 {
     http_client_limits limits;
@@ -56,9 +62,9 @@
     server_.respond(exchange, {status, {}, {}});
 }
 
-void caller_front::refuse(exchange_id exchange)
+void caller_front::refuse(exchange_id exchange, char const* reason)
 {
-    ++counts_.refused;
+    ++counts_.refused[reason];
     server_.respond(
         exchange,
         {status_unavailable,
@@ -66,10 +72,19 @@
          {}});
 }
 
+void caller_front::turn_away(
+    exchange_id exchange, job_id const& job, char const* reason)
+{
+    log_event(
+        log_level::warning, "caller_turned_away",
+        {{"job", job.value}, {"reason", reason}});
+    refuse(exchange, reason);
+}
+
 void caller_front::handle(exchange_id exchange, http_request const& request)
 {
     if (!configuration_.is_known()) {
-        refuse(exchange);
+        refuse(exchange, no_configuration);
         return;
     }
     auto const* const host = find_header(request.headers, "Host");
@@ -113,28 +128,50 @@
         return;
     }
     if (asked_.is_store_lost()) {
-        refuse(exchange);
+        turn_away(exchange, job_id{to.rest}, store_lost);
         return;
     }
     accepted_job job{take(std::move(graph)), {}};
     if (auto const holder = asked_.holder())
         job.accepted_in = holder->term;
-    store_job(store_, job, [this, exchange, job](stored_job const& stored) {
-        if (stored.is == acceptance::refused) {
-            refuse(exchange);
-            return;
-        }
-        if (stored.is == acceptance::unknown) {
-            ++counts_.unknown;
-            respond(exchange, status_timeout);
-            return;
-        }
-        ++counts_.accepted;
-        respond(exchange, status_ok);
-        if (auto* const term = asked_.term();
-            term != nullptr && stored.revision != 0)
-            term->on_stored(job, stored.revision);
-    });
+    auto const asked_at = event_loop::now();
+    store_job(
+        store_, job, [this, exchange, job, asked_at](stored_job const& stored) {
+            take_stored(exchange, job, asked_at, stored);
+        });
+}
+
+void caller_front::take_stored(
+    exchange_id exchange, accepted_job const& job, monotonic_time asked_at,
+    stored_job const& stored)
+{
+    auto const took = std::chrono::duration_cast<std::chrono::microseconds>(
+        event_loop::now() - asked_at);
+    if (stored.is == acceptance::refused) {
+        turn_away(exchange, job.graph.id, store_refused);
+        return;
+    }
+    if (stored.is == acceptance::unknown) {
+        ++counts_.unknown;
+        log_event(
+            log_level::warning, "job_fate_unknown",
+            {{"job", job.graph.id.value}, {"took_us", took.count()}});
+        respond(exchange, status_timeout);
+        return;
+    }
+    ++counts_.accepted;
+    submission_times_.record(took);
+    log_event(
+        log_level::info, "job_accepted",
+        {{"job", job.graph.id.value},
+         {"queue", job.graph.queue.value},
+         {"term", job.accepted_in.value},
+         {"revision", stored.revision},
+         {"took_us", took.count()}});
+    respond(exchange, status_ok);
+    if (auto* const term = asked_.term();
+        term != nullptr && stored.revision != 0)
+        term->on_stored(job, stored.revision);
 }
 
 void caller_front::tell_state(exchange_id exchange, job_id const& job)
@@ -148,12 +185,12 @@
         }
     }
     if (asked_.is_store_lost()) {
-        refuse(exchange);
+        refuse(exchange, store_lost);
         return;
     }
     find_phase(store_, job, [this, exchange](auto const& found) {
         if (!ok(found)) {
-            refuse(exchange);
+            refuse(exchange, store_refused);
             return;
         }
         if (value(found))
@@ -167,11 +204,11 @@
 {
     ++counts_.cancels;
     if (asked_.is_store_lost()) {
-        refuse(exchange);
+        turn_away(exchange, job, store_lost);
         return;
     }
     store_cancellation(
-        store_, job, [this, exchange](cancellation const& done_so) {
+        store_, job, [this, exchange, job](cancellation const& done_so) {
             switch (done_so) {
             case cancellation::accepted:
                 respond(exchange, status_ok);
@@ -180,7 +217,7 @@
                 respond(exchange, status_gone);
                 return;
             case cancellation::refused:
-                refuse(exchange);
+                turn_away(exchange, job, store_refused);
                 return;
             case cancellation::unknown:
                 respond(exchange, status_timeout);
@@ -212,7 +249,7 @@
     }
     auto const holder = asked_.holder();
     if (!holder) {
-        refuse(exchange);
+        refuse(exchange, no_holder);
         return;
     }
     client_of(holder->address)
@@ -225,7 +262,7 @@
                 bool const is_told =
                     ok(answer) && value(answer).status == status_ok;
                 if (!is_told) {
-                    refuse(exchange);
+                    refuse(exchange, no_holder);
                     return;
                 }
                 pending_[queue] = {value(answer).body, event_loop::now()};
--- a/src/spar-scheduler/caller_front.hpp
+++ b/src/spar-scheduler/caller_front.hpp
@@ -6,6 +6,7 @@
 #include "common/http_client.hpp"
 #include "common/http_server.hpp"
 #include "common/kv_store.hpp"
+#include "libsycamorespar/latency_histogram.hpp"
 #include "records/job_store.hpp"
 #include "spar-scheduler/configuration_follower.hpp"
 #include "spar-scheduler/scheduling_term.hpp"
@@ -36,7 +37,8 @@
 struct caller_counts
 {
     std::uint64_t accepted = 0;
-    std::uint64_t refused = 0;
+    /// By reason.
+    std::map<std::string, std::uint64_t> refused;
     std::uint64_t unknown = 0;
     std::uint64_t unsound = 0;
     std::uint64_t states = 0;
@@ -71,6 +73,11 @@
     std::size_t open_exchanges() const { return server_.open_exchanges(); }
     /// What happened so far.
     caller_counts const& counts() const { return counts_; }
+    /// How long the store took to accept jobs.
+    latency_histogram const& submission_times() const
+    {
+        return submission_times_;
+    }
 
 private:
     struct pending_count
@@ -89,7 +96,11 @@
     void ask_holder(exchange_id exchange, queue_id const& queue);
     http_client& client_of(endpoint const& where);
     void respond(exchange_id exchange, int status);
-    void refuse(exchange_id exchange);
+    void refuse(exchange_id exchange, char const* reason);
+    void turn_away(exchange_id exchange, job_id const& job, char const* reason);
+    void take_stored(
+        exchange_id exchange, accepted_job const& job, monotonic_time asked_at,
+        stored_job const& stored);
 
     event_loop& loop_;
     kv_store const& store_;
@@ -100,6 +111,7 @@
     std::map<endpoint, std::unique_ptr<http_client>> peers_;
     std::map<queue_id, pending_count> pending_;
     caller_counts counts_;
+    latency_histogram submission_times_;
 };
 
 } // namespace sycamorespar
--- a/src/spar-scheduler/scheduler_daemon.cpp
+++ b/src/spar-scheduler/scheduler_daemon.cpp
@@ -54,7 +54,8 @@
           loop_, http_server_limits{},
           [this](exchange_id exchange, http_request const&) {
               answer_readiness(exchange);
-          })
+          }),
+      metrics_(loop_, [this] { return render_metrics(); })
 {
     office_ = std::make_unique<office>(
         loop_, store_,
@@ -77,7 +78,7 @@
         if (!ok(listening))
             return failure(listening);
     }
-    return done{};
+    return metrics_.listen(settings_.metrics);
 }
 
 result<done> scheduler_daemon::run()
@@ -90,10 +91,11 @@
     // The settings name addresses only; a change of these needs a restart.
     loop_.on_signal(
         SIGHUP, [] { log_event(log_level::info, "settings_kept"); });
+    set_log_machine(settings_.machine);
     log_event(
         log_level::info, "started",
-        {{"machine", settings_.machine},
-         {"failure_domain", settings_.domain.value}});
+        {{"failure_domain", settings_.domain.value},
+         {"capacity", settings_.capacity}});
     loop_.run();
     log_event(log_level::info, "stopped");
     return done{};
@@ -106,6 +108,7 @@
 
 void scheduler_daemon::on_gained(scheduler_term term)
 {
+    ++terms_;
     term_ = std::make_unique<scheduling_term>(
         loop_, store_, term, limits_of(settings_), configuration_.policy(),
         scheduling_term::observer{
@@ -131,6 +134,24 @@
         exchange, {is_ready ? status_ok : status_unavailable, {}, {}});
 }
 
+std::string scheduler_daemon::render_metrics()
+{
+    scheduler_figures figures;
+    figures.callers = &front_.counts();
+    figures.submissions = &front_.submission_times();
+    figures.configuration_version = configuration_.version();
+    figures.configuration_age = event_loop::now() - configuration_.heard_at();
+    figures.holds_office = office_->is_held();
+    figures.terms = terms_;
+    figures.is_store_lost = watched_store_.is_lost();
+    figures.store_calls = store_client_.calls();
+    if (auto* const term = ready_term()) {
+        figures.scheduler = term->scheduler();
+        figures.writer = term->writer();
+    }
+    return render_scheduler_metrics(figures, event_loop::now());
+}
+
 void scheduler_daemon::begin_stop()
 {
     if (std::exchange(is_stopping_, true))
--- a/src/spar-scheduler/scheduler_daemon.hpp
+++ b/src/spar-scheduler/scheduler_daemon.hpp
@@ -4,16 +4,20 @@
 
 #include "common/event_loop.hpp"
 #include "common/http_server.hpp"
+#include "common/metrics_endpoint.hpp"
 #include "platform/kv_client.hpp"
 #include "spar-scheduler/caller_front.hpp"
 #include "spar-scheduler/configuration_follower.hpp"
 #include "spar-scheduler/runner_desk.hpp"
+#include "spar-scheduler/scheduler_metrics.hpp"
 #include "spar-scheduler/scheduler_settings.hpp"
 #include "spar-scheduler/scheduling_term.hpp"
 #include "store/office.hpp"
 #include "store/watched_store.hpp"
 
+#include <cstdint>
 #include <memory>
+#include <string>
 
 namespace sycamorespar {
 
@@ -35,6 +39,7 @@
     void on_lost();
     scheduling_term* ready_term();
     void answer_readiness(exchange_id exchange);
+    std::string render_metrics();
     void begin_stop();
     void stop_when_idle(monotonic_time deadline);
 
@@ -49,6 +54,8 @@
     runner_desk desk_;
     caller_front front_;
     http_server readiness_;
+    metrics_endpoint metrics_;
+    std::uint64_t terms_ = 0;
     bool is_stopping_ = false;
 };
 
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -69,7 +69,7 @@
 void scheduling_term::take_progress(result<kv_listing> const& listing)
 {
     if (!ok(listing)) {
-        log_error("records_not_read", failure(listing));
+        log_repeated_error("records_not_read", failure(listing));
         read_again([this] { read_progress_records(); });
         return;
     }
@@ -98,7 +98,7 @@
 void scheduling_term::take_workers(result<kv_listing> const& listing)
 {
     if (!ok(listing)) {
-        log_error("records_not_read", failure(listing));
+        log_repeated_error("records_not_read", failure(listing));
         read_again([this] { read_worker_records(); });
         return;
     }
@@ -252,12 +252,33 @@
     });
 }
 
+void scheduling_term::log_notes()
+{
+    for (auto const& note : scheduler_->take_notes()) {
+        if (note.is == schedule_note::kind::job_ended) {
+            log_event(
+                log_level::info, "job_ended",
+                {{"job", note.run.task.job.value},
+                 {"phase", to_string(note.phase)}});
+            continue;
+        }
+        bool const is_end = note.is == schedule_note::kind::run_ended;
+        log_event(
+            log_level::info, is_end ? "run_ended" : "run_ordered",
+            {{"task", to_string(note.run.task)},
+             {"run", note.run.number},
+             {"worker", note.worker.value},
+             {"how", is_end ? to_string(note.how) : "start"}});
+    }
+}
+
 void scheduling_term::plan()
 {
     is_plan_due_ = false;
     if (!is_ready())
         return;
     scheduler_->plan(event_loop::now(), steady_time_of_day());
+    log_notes();
     for (auto const& worker : scheduler_->take_forgotten_workers()) {
         log_event(
             log_level::info, "worker_forgotten", {{"worker", worker.value}});
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -46,6 +46,8 @@
     graph_scheduler* scheduler() { return scheduler_.get(); }
     /// The scheduler; null until the records are read.
     graph_scheduler const* scheduler() const { return scheduler_.get(); }
+    /// The writer of records; null until the records are read.
+    record_writer const* writer() const { return writer_.get(); }
     /// Puts a configuration in force.
     void set_policy(schedule_policy policy);
     /// A runner has reported.
@@ -67,6 +69,7 @@
     void take_change(kv_change const& change);
     void take_job(kv_item const& item);
     void plan();
+    void log_notes();
 
     struct recorded_progress
     {
--- a/src/store/office.cpp
+++ b/src/store/office.cpp
@@ -325,7 +325,7 @@
             if (guard.expired() || !is_held_ || !(lease == lease_))
                 return;
             if (!ok(kept)) {
-                log_error("office_renewal_failed", failure(kept));
+                log_repeated_error("office_renewal_failed", failure(kept));
                 return;
             }
             if (value(kept))
