Let workers that have left hold up no takeover

A worker left at 9 s; its record stayed, since its runner can't list it under a successor's token, and each of four successors waited 8.4 s for it without getting that far.

Ruled out: runners that found no holder (they follow within a round trip), slow reading of records (0.03 s).

Change: a runner tells in its facts that its worker has taken its leave. The scheduler then ends its runs, accounts for it and removes its record, whatever token the report carries. Late looks and announcements of that life change nothing. The log says when a term has settled.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -211,6 +211,10 @@
     worker.last_sequence = report.sequence;
     worker.heard_at = now;
     worker.is_reachable = report.is_reachable;
+    if (report.facts.has_left) {
+        take_leave(worker, report, now);
+        return true;
+    }
     if (report.token != worker.token) {
         worker.has_new_token = true;
         return true;
@@ -229,6 +233,22 @@
     return true;
 }
 
+// A worker that has left can't be listed under a new token: whoever takes over
+// next would wait for it, and the one after that again.
+void graph_scheduler::take_leave(
+    booked_worker& worker, runner_report const& report, monotonic_time now)
+{
+    worker.has_new_token = false;
+    worker.confirm_orders(report.last_order);
+    take_ends(worker, report, now);
+    end_all_runs(worker, now);
+    worker.orders.clear();
+    worker.is_listed = false;
+    unsettled_.erase(worker.id);
+    if (!std::exchange(worker.is_forgotten, true))
+        forgotten_.push_back(worker.id);
+}
+
 void graph_scheduler::begin_life(
     booked_worker& worker, runner_report const& report, monotonic_time now)
 {
@@ -245,6 +265,11 @@
     // stay used.
     worker.orders.clear();
     worker.facts = report.facts;
+    if (!std::exchange(worker.is_forgotten, false))
+        return;
+    // Its record is gone or going.
+    worker.is_recorded = false;
+    std::erase(forgotten_, worker.id);
 }
 
 void graph_scheduler::end_all_runs(booked_worker& worker, monotonic_time now)
@@ -460,7 +485,7 @@
 {
     std::vector<worker_id> found;
     for (auto const& [id, worker] : workers_.all()) {
-        if (!worker.is_recorded)
+        if (!worker.is_recorded && !worker.is_forgotten)
             found.push_back(id);
     }
     return found;
@@ -539,7 +564,8 @@
         bool const is_silent = now - worker.heard_at >= limits_.hold;
         if (!is_silent || !has_lapsed(worker, now))
             return false;
-        forgotten_.push_back(worker.id);
+        if (!worker.is_forgotten)
+            forgotten_.push_back(worker.id);
         return true;
     });
 }
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -255,6 +255,8 @@
     void count_out_silent(monotonic_time now);
     bool has_lapsed(booked_worker const& worker, monotonic_time now) const;
     void forget_silent(monotonic_time now);
+    void take_leave(
+        booked_worker& worker, runner_report const& report, monotonic_time now);
     void open_occurrences(std::chrono::milliseconds time_of_day);
     void place_waiting(monotonic_time now);
     void move_slow_fillers(monotonic_time now);
--- a/src/libsycamorespar/run_keeper.cpp
+++ b/src/libsycamorespar/run_keeper.cpp
@@ -47,6 +47,9 @@
 {
     if (has_worker_ && facts.life.born < facts_.life.born)
         return false;
+    // An announcement that was held up doesn't bring back what has left.
+    if (has_worker_ && facts_.has_left && facts.life == facts_.life)
+        return false;
     if (!has_worker_ || !(facts.life == facts_.life))
         begin_life(facts);
     see_clock(at, now);
@@ -56,6 +59,18 @@
     return true;
 }
 
+// The worker has drained for seconds by then, so that no start that was held
+// up is still within its time.
+bool run_keeper::on_leave(std::string const& instance)
+{
+    if (!has_worker_ || facts_.life.instance != instance)
+        return false;
+    facts_.has_left = true;
+    runs_.clear();
+    has_news_ = true;
+    return true;
+}
+
 void run_keeper::begin_life(worker_facts const& facts)
 {
     has_worker_ = true;
@@ -219,7 +234,7 @@
 std::vector<start_call> run_keeper::take_starts(monotonic_time now)
 {
     std::vector<start_call> calls;
-    if (!may_call() || !clock_ || !is_reachable_)
+    if (!may_call() || !clock_ || !is_reachable_ || facts_.has_left)
         return calls;
     auto const clock = clock_at_least(now);
     for (auto& [run, kept] : runs_) {
@@ -356,7 +371,7 @@
         is_reachable_ = true;
         has_news_ = true;
     }
-    if (listing.at < last_listing_)
+    if (listing.at < last_listing_ || facts_.has_left)
         return;
     last_listing_ = listing.at;
     for (auto const& end : listing.ended) {
--- a/src/libsycamorespar/run_keeper.hpp
+++ b/src/libsycamorespar/run_keeper.hpp
@@ -165,6 +165,9 @@
     /// \return false where the announcement is of an earlier life.
     bool on_announcement(
         worker_facts const& facts, worker_time at, monotonic_time now);
+    /// The worker takes its leave.
+    /// \return false where that life is not the one that is known.
+    bool on_leave(std::string const& instance);
     /// True once the worker has announced itself.
     bool has_worker() const { return has_worker_; }
     /// What the worker last said of itself.
--- a/src/libsycamorespar/runner_messages.hpp
+++ b/src/libsycamorespar/runner_messages.hpp
@@ -46,6 +46,8 @@
     bool is_draining = false;
     /// How long it goes on at least once it drains.
     std::chrono::milliseconds drain_remaining{0};
+    /// True once it has taken its leave: nothing of this life runs any more.
+    bool has_left = false;
 
     bool operator==(worker_facts const&) const = default;
 };
--- a/src/libsycamorespar/worker_book.hpp
+++ b/src/libsycamorespar/worker_book.hpp
@@ -67,6 +67,8 @@
     bool is_reachable = true;
     /// The store knows of this worker.
     bool is_recorded = false;
+    /// Its record is to go: it has left.
+    bool is_forgotten = false;
     /// The runs that hold room.
     std::map<run_id, placed_run> runs;
     /// Runs that belong to no job and are being stopped.
--- a/src/runners/runner_codec.cpp
+++ b/src/runners/runner_codec.cpp
@@ -43,7 +43,7 @@
         {write_life(facts.life), facts.pool.value, facts.domain.value,
          facts.capacity.millicores, facts.capacity.memory_mib,
          facts.capacity.accelerators, facts.labels, facts.is_draining,
-         facts.drain_remaining.count()});
+         facts.drain_remaining.count(), facts.has_left});
 }
 
 worker_facts read_facts(json const& from)
@@ -58,6 +58,7 @@
     facts.labels = from.at(6).get<std::vector<std::string>>();
     facts.is_draining = from.at(7).get<bool>();
     facts.drain_remaining = milliseconds(from.at(8).get<std::int64_t>());
+    facts.has_left = from.at(9).get<bool>();
     return facts;
 }
 
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -84,8 +84,12 @@
     }
     auto const instance = path.substr(platform::announcement_prefix.size());
     if (request.method == "DELETE") {
-        log_event(log_level::info, "worker_left", {{"instance", instance}});
+        bool const is_known = keeper_.on_leave(instance);
+        log_event(
+            log_level::info, "worker_left",
+            {{"instance", instance}, {"is_known", is_known}});
         announcements_.respond(exchange, platform::empty_answer());
+        link_.wake();
         return;
     }
     if (request.method != "PUT") {
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -278,6 +278,8 @@
     if (!is_ready())
         return;
     scheduler_->plan(event_loop::now(), steady_time_of_day());
+    if (scheduler_->is_settled() && !std::exchange(is_settled_, true))
+        log_event(log_level::info, "workers_settled", {{"term", term_.value}});
     log_notes();
     for (auto const& worker : scheduler_->take_forgotten_workers()) {
         log_event(
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -90,6 +90,8 @@
     std::unique_ptr<prefix_watch> jobs_;
     event_id tick_ = 0;
     bool is_plan_due_ = false;
+    /// All recorded workers were accounted for, and the log says so.
+    bool is_settled_ = false;
     std::shared_ptr<bool> alive_;
 };
 
--- a/tests/graph_records_test.cpp
+++ b/tests/graph_records_test.cpp
@@ -52,6 +52,7 @@
     report.facts.labels = {"a", "r1"};
     report.facts.is_draining = true;
     report.facts.drain_remaining = 1500ms;
+    report.facts.has_left = true;
     report.term = scheduler_term{12};
     report.token = 12ULL << 16U;
     report.is_listed = true;
--- a/tests/graph_scheduler_test.cpp
+++ b/tests/graph_scheduler_test.cpp
@@ -652,3 +652,49 @@
     CHECK(started == 4);
     CHECK(used.size() == 1);
 }
+
+TEST_CASE("a worker that has left holds up no takeover")
+{
+    // Our day of takeovers: a worker left, and each of four successors waited
+    // for it. Jobs stood still for 16 s.
+    world before;
+    test_runner a("a");
+    test_runner b("b");
+    a.join(before.scheduler, before.now);
+    b.join(before.scheduler, before.now);
+    before.add(test_job("j1", "urgent", test_step(1, one_core)));
+    REQUIRE(starts_in(before.step(a)).size() == 1);
+    auto const run = a.report.runs[0].run;
+    a.report.facts.has_left = true;
+    a.report.runs.clear();
+    a.exchange(before.scheduler, before.now);
+    CHECK(
+        before.scheduler.take_forgotten_workers() ==
+        std::vector{worker_id{"a"}});
+    CHECK(before.scheduler.unrecorded_workers().empty());
+    auto const again = starts_in(before.step(b));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.task == run.task);
+
+    // A successor that still reads the record is told as well.
+    world after({worker_id{"a"}, worker_id{"b"}}, scheduler_term{8});
+    b.join(after.scheduler, after.now);
+    CHECK_FALSE(after.scheduler.is_settled());
+    a.exchange(after.scheduler, after.now);
+    CHECK(after.scheduler.is_settled());
+}
+
+TEST_CASE("a machine whose worker has left may bring another")
+{
+    world w;
+    test_runner a("a");
+    a.join(w.scheduler, w.now);
+    a.report.facts.has_left = true;
+    a.exchange(w.scheduler, w.now);
+    w.scheduler.take_forgotten_workers();
+    a.report.facts.has_left = false;
+    a.report.facts.life = {"i-next", 9000ms};
+    a.join(w.scheduler, w.now);
+    w.add(test_job("j1", "urgent", test_step(1, one_core)));
+    CHECK(starts_in(w.step(a)).size() == 1);
+}
--- a/tests/run_keeper_test.cpp
+++ b/tests/run_keeper_test.cpp
@@ -350,3 +350,22 @@
     CHECK_FALSE(b.keeper.may_call());
     CHECK(b.report().token == 0);
 }
+
+TEST_CASE("what has left runs nothing, and late words of it change nothing")
+{
+    bench b;
+    b.join();
+    b.order_start();
+    CHECK_FALSE(b.keeper.on_leave("i-other"));
+    CHECK(b.keeper.on_leave("i-1"));
+    CHECK(b.report().facts.has_left);
+    CHECK(b.report().runs.empty());
+    CHECK(b.keeper.take_starts(b.now).empty());
+    b.list({b.row()}, {});
+    CHECK(b.report().runs.empty());
+    CHECK_FALSE(b.keeper.on_announcement(b.facts, 20'000ms, b.now));
+    CHECK(b.report().facts.has_left);
+    b.facts.life = {"i-2", 5000ms};
+    CHECK(b.keeper.on_announcement(b.facts, 10ms, b.now));
+    CHECK_FALSE(b.report().facts.has_left);
+}
