--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -75,7 +75,7 @@
     program_name = std::move(name);
 }
 
-void set_log_machine(std::string name)
+void set_log_machine(std::string const& name)
 {
     machine_field = " machine=" + quoted(name);
 }
@@ -106,7 +106,7 @@
         machine_field, event);
     for (auto const& field : fields)
         line += fmt::format(" {}={}", field.key, quoted(field.value));
-    writer().write(std::move(line));
+    writer().write(line);
 }
 
 void log_error(std::string_view event, error const& what)
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -52,7 +52,7 @@
 void set_log_program(std::string name);
 
 /// Sets the machine's name, written on each line; none before.
-void set_log_machine(std::string name);
+void set_log_machine(std::string const& name);
 
 /// Reads "debug", "info", "warning" or "error".
 result<log_level> parse_log_level(std::string const& text);
--- a/src/common/log_writer.cpp
+++ b/src/common/log_writer.cpp
@@ -26,7 +26,7 @@
     waiting_ += '\n';
 }
 
-void log_writer::write(std::string line)
+void log_writer::write(std::string const& line)
 {
     flush();
     if (waiting_.size() + line.size() >= backlog_) {
--- a/src/common/log_writer.hpp
+++ b/src/common/log_writer.hpp
@@ -22,7 +22,7 @@
     explicit log_writer(int descriptor, std::size_t backlog = default_backlog);
 
     /// Writes a line; the line end is added.
-    void write(std::string line);
+    void write(std::string const& line);
     /// Writes what waits, as far as the reader takes it.
     void flush();
     /// Lines left out so far.
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -60,7 +60,7 @@
     auto const listening = announcements_.listen(settings_.announcements);
     if (!ok(listening))
         return failure(listening);
-    auto const metrics = metrics_.listen(settings_.metrics);
+    auto metrics = metrics_.listen(settings_.metrics);
     if (!ok(metrics))
         return metrics;
     loop_.on_signal(SIGTERM, [this] { loop_.stop(); });
