--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -178,17 +178,26 @@
         waiting_.insert(queue_entry(job, task));
 }
 
+void graph_scheduler::order_stop(registered_worker& worker, run_id const& run)
+{
+    if (!worker.order_stop(run))
+        return;
+    ++counts_.stops;
+    events_.push_back(
+        {scheduling_event::kind::stop_ordered, run, worker.id, {}, {}, 0});
+}
+
 void graph_scheduler::stop_live_runs(job_entry const& job)
 {
     for (auto const& [run, worker] : job.live_runs)
-        workers_.at(worker).order_stop(run);
+        order_stop(workers_.at(worker), run);
 }
 
 void graph_scheduler::stop_copies(job_entry const& job, task_id const& task)
 {
     for (auto const& [run, worker] : job.live_runs) {
         if (run.task == task)
-            workers_.at(worker).order_stop(run);
+            order_stop(workers_.at(worker), run);
     }
 }
 
@@ -208,9 +217,17 @@
                                  report.sequence <= worker.last_sequence;
     if (is_older_incarnation || is_older_report)
         return false;
-    if (worker.runner != report.runner)
+    if (worker.runner != report.runner) {
+        events_.push_back(
+            {scheduling_event::kind::session_began,
+             {},
+             worker.id,
+             {},
+             {},
+             worker.orders.size()});
         worker.begin_session(
             report.runner, term_.value * sessions_per_term + ++session_count_);
+    }
     if (!(worker.facts.incarnation == report.facts.incarnation))
         begin_incarnation(worker, report, now);
     worker.facts = report.facts;
@@ -410,14 +427,14 @@
         return;
     worker.cooldown_until =
         std::max(worker.cooldown_until, now + limits_.stall_cooldown);
-    worker.order_stop(reported.run);
+    order_stop(worker, reported.run);
 }
 
 void graph_scheduler::stop_unknown_run(
     registered_worker& worker, run_id const& run)
 {
     worker.unknown_runs.insert(run);
-    worker.order_stop(run);
+    order_stop(worker, run);
 }
 
 void graph_scheduler::end_run(
@@ -437,7 +454,7 @@
     bool const was_final = is_final(job->progress.phase());
     ++counts_.ended[how];
     events_.push_back(
-        {scheduling_event::kind::run_ended, run, worker.id, how, {}});
+        {scheduling_event::kind::run_ended, run, worker.id, how, {}, 0});
     update_health(worker, run, how, now);
     auto const due = job->progress.end_run(run, how, checkpoint);
     mark_changed(run.task.job);
@@ -659,7 +676,7 @@
             if (workers_.choose_alternative(
                     query, id, policy_.closed_domains, now) == nullptr)
                 continue;
-            worker.order_stop(run);
+            order_stop(worker, run);
             break;
         }
     }
@@ -751,7 +768,7 @@
     job.live_runs.emplace(run, worker.id);
     ++counts_.ordered;
     events_.push_back(
-        {scheduling_event::kind::run_ordered, run, worker.id, {}, {}});
+        {scheduling_event::kind::run_ordered, run, worker.id, {}, {}, 0});
     auto hints = placed.facts.fills
                      ? workers_.hints_for(worker, placed.facts.image)
                      : std::vector<contention_hint>{};
@@ -828,7 +845,8 @@
     ++counts_.jobs_ended[phase];
     run_id run;
     run.task.job = job.progress.graph().id;
-    events_.push_back({scheduling_event::kind::job_ended, run, {}, {}, phase});
+    events_.push_back(
+        {scheduling_event::kind::job_ended, run, {}, {}, phase, 0});
 }
 
 std::vector<scheduling_event> graph_scheduler::take_events()
@@ -844,6 +862,18 @@
     return counts;
 }
 
+std::size_t graph_scheduler::runs_of_ended_jobs() const
+{
+    std::size_t count = 0;
+    for (auto const& [id, job] : jobs_) {
+        if (is_final(job.progress.phase()))
+            count += job.live_runs.size();
+    }
+    for (auto const& [id, worker] : workers_.all())
+        count += worker.unknown_runs.size();
+    return count;
+}
+
 std::size_t graph_scheduler::open_jobs() const
 {
     return static_cast<std::size_t>(
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -102,6 +102,10 @@
     {
         /// A run was ordered.
         run_ordered,
+        /// A run was ordered to stop.
+        stop_ordered,
+        /// A runner began a session; the orders of the one before are void.
+        session_began,
         /// A run has ended, or was refused before it began.
         run_ended,
         /// A job has ended; the end is not written to the store yet.
@@ -109,14 +113,16 @@
     };
     /// What happened.
     kind type = kind::run_ordered;
-    /// The run; only its job is set for job_ended.
+    /// The run; only its job is set for job_ended, none for session_began.
     run_id run;
-    /// The worker of the run.
+    /// The worker of the run or of the session.
     worker_id worker;
     /// How the run ended; only for run_ended.
     run_end how = run_end::lost;
     /// The final phase of the job; only for job_ended.
     job_phase phase = job_phase::queued;
+    /// Orders that no report had confirmed; only for session_began.
+    std::size_t void_orders = 0;
 };
 
 /// Counters of the scheduler, for metrics.
@@ -124,6 +130,8 @@
 {
     /// Runs ordered.
     std::uint64_t ordered = 0;
+    /// Stops ordered.
+    std::uint64_t stops = 0;
     /// Runs ended, by the way they ended.
     std::map<run_end, std::uint64_t> ended;
     /// Jobs ended, by final phase.
@@ -200,6 +208,8 @@
     std::size_t pending(queue_id const& queue) const;
     /// The number of jobs that have not ended.
     std::size_t open_jobs() const;
+    /// The number of live runs whose job has ended; they are being stopped.
+    std::size_t runs_of_ended_jobs() const;
     /// The number of tasks that wait for a worker.
     std::size_t waiting_tasks() const { return waiting_.size(); }
     /// The workers, for metrics and tests.
@@ -239,6 +249,7 @@
     job_entry const* find_job(job_id const& job) const;
     waiting_task queue_entry(job_entry const& job, task_id const& id) const;
     void enqueue(job_entry const& job, std::vector<task_id> const& due);
+    void order_stop(registered_worker& worker, run_id const& run);
     void stop_live_runs(job_entry const& job);
     void stop_copies(job_entry const& job, task_id const& task);
     void mark_changed(job_id const& job);
--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -207,8 +207,10 @@
     }
     if (auto const* stop = std::get_if<stop_order>(&order)) {
         auto const found = runs_.find(stop->run);
-        if (found == runs_.end())
+        if (found == runs_.end()) {
+            ++ignored_stops_;
             return;
+        }
         auto& tracked = found->second;
         if (tracked.start_stage == tracked_run::stage::ordered &&
             tracked.unanswered == 0) {
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -244,6 +244,8 @@
     /// The end of the lease that the scheduler has granted, by the worker's
     /// clock.
     worker_time granted_until() const { return granted_until_; }
+    /// The number of stop orders for runs that were not tracked.
+    std::uint64_t ignored_stops() const { return ignored_stops_; }
 
 private:
     struct sent_report
@@ -287,6 +289,7 @@
     worker_time sent_until_{0};
     bool is_reachable_ = true;
     std::optional<monotonic_time> answered_at_;
+    std::uint64_t ignored_stops_ = 0;
 };
 
 } // namespace sycamorespar
--- a/src/libsycamorespar/worker_registry.cpp
+++ b/src/libsycamorespar/worker_registry.cpp
@@ -203,15 +203,16 @@
         placed.facts, std::move(hints)});
 }
 
-void registered_worker::order_stop(run_id const& run)
+bool registered_worker::order_stop(run_id const& run)
 {
     auto const found = runs.find(run);
     if (found != runs.end()) {
         if (found->second.is_stopping)
-            return;
+            return false;
         found->second.is_stopping = true;
     }
     orders.emplace_back(stop_order{next_order++, run});
+    return true;
 }
 
 void registered_worker::begin_session(
--- a/src/libsycamorespar/worker_registry.hpp
+++ b/src/libsycamorespar/worker_registry.hpp
@@ -117,8 +117,9 @@
     void order_start(
         run_id const& run, std::string payload, std::string checkpoint,
         placed_run const& placed, std::vector<contention_hint> hints);
-    /// Queues a stop order; does nothing if the run is already being stopped.
-    void order_stop(run_id const& run);
+    /// Queues a stop order.
+    /// \return false if the run is already being stopped.
+    bool order_stop(run_id const& run);
     /// Resets the session for a new incarnation of the runner, which has
     /// received no orders.
     void begin_session(incarnation started, std::uint64_t new_token);
--- a/src/records/job_store.cpp
+++ b/src/records/job_store.cpp
@@ -27,7 +27,11 @@
     store.write(
         write, [job, on_done = std::move(on_done)](auto const& written) {
             if (ok(written)) {
-                on_done(cancellation::accepted);
+                bool const is_stored = value(written).status ==
+                                       kv_write_result::write_status::written;
+                on_done(
+                    is_stored ? cancellation::accepted
+                              : cancellation::has_ended);
                 return;
             }
             log_error("cancel_not_stored", failure(written));
@@ -39,6 +43,23 @@
 
 } // namespace
 
+char const* to_string(cancellation stored)
+{
+    switch (stored) {
+    case cancellation::accepted:
+        return "accepted";
+    case cancellation::has_ended:
+        return "has_ended";
+    case cancellation::no_such_job:
+        return "no_such_job";
+    case cancellation::refused:
+        return "refused";
+    case cancellation::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 void store_job(
     kv_store const& store, accepted_job const& job,
     std::function<void(stored_job)> on_done)
--- a/src/records/job_store.hpp
+++ b/src/records/job_store.hpp
@@ -35,8 +35,10 @@
 /// Outcome of a request to cancel a job.
 enum class cancellation
 {
-    /// The request is stored, or the job has ended.
+    /// The request is stored.
     accepted,
+    /// The job has ended, so there is nothing left to cancel.
+    has_ended,
     /// There is no such job.
     no_such_job,
     /// This call certainly stored nothing.
@@ -45,6 +47,9 @@
     unknown
 };
 
+/// A name for logs.
+char const* to_string(cancellation stored);
+
 /// Stores an accepted job. A stored job of the same id counts as this one.
 void store_job(
     kv_store const& store, accepted_job const& job,
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -189,6 +189,11 @@
                 tracker_.on_stop_result(
                     run, answer.result, answer.at, event_loop::now());
                 ++counts_.stops[answer.result];
+                log_event(
+                    log_level::info, "stop_answered",
+                    {{"task", to_string(run.task)},
+                     {"run", run.number},
+                     {"result", to_string(answer.result)}});
                 handle_token_result(answer.result, token);
             });
     }
--- a/src/spar-runner/runner_metrics.cpp
+++ b/src/spar-runner/runner_metrics.cpp
@@ -21,6 +21,9 @@
         page.add_counter(
             "spar_stops", "Stops, by what the worker said.", count,
             {{"result", to_string(result)}});
+    page.add_counter(
+        "spar_stops_ignored", "Stop orders for runs that were not tracked.",
+        tracker.ignored_stops());
     constexpr char const* polls = "spar_looks";
     constexpr char const* polls_help = "Looks at the worker.";
     page.add_counter(polls, polls_help, counts.polls, {{"result", "answered"}});
--- a/src/spar-scheduler/caller_api.cpp
+++ b/src/spar-scheduler/caller_api.cpp
@@ -206,25 +206,42 @@
         log_and_refuse(exchange, job, store_lost);
         return;
     }
+    auto const sent_at = event_loop::now();
     store_cancellation(
-        store_, job, [this, exchange, job](cancellation const& stored) {
-            switch (stored) {
-            case cancellation::accepted:
-                respond(exchange, status_ok);
-                return;
-            case cancellation::no_such_job:
-                respond(exchange, status_gone);
-                return;
-            case cancellation::refused:
-                log_and_refuse(exchange, job, store_refused);
-                return;
-            case cancellation::unknown:
-                respond(exchange, status_timeout);
-                return;
-            }
+        store_, job,
+        [this, exchange, job, sent_at](cancellation const& stored) {
+            on_cancellation_stored(exchange, job, sent_at, stored);
         });
 }
 
+void caller_api::on_cancellation_stored(
+    exchange_id exchange, job_id const& job, monotonic_time sent_at,
+    cancellation const& stored)
+{
+    auto const took = std::chrono::duration_cast<std::chrono::microseconds>(
+        event_loop::now() - sent_at);
+    log_event(
+        log_level::info, "cancel_answered",
+        {{"job", job.value},
+         {"outcome", to_string(stored)},
+         {"took_us", took.count()}});
+    switch (stored) {
+    case cancellation::accepted:
+    case cancellation::has_ended:
+        respond(exchange, status_ok);
+        return;
+    case cancellation::no_such_job:
+        respond(exchange, status_gone);
+        return;
+    case cancellation::refused:
+        log_and_refuse(exchange, job, store_refused);
+        return;
+    case cancellation::unknown:
+        respond(exchange, status_timeout);
+        return;
+    }
+}
+
 void caller_api::respond_pending(exchange_id exchange, queue_id const& queue)
 {
     if (auto const* const term = callbacks_.term()) {
--- a/src/spar-scheduler/caller_api.hpp
+++ b/src/spar-scheduler/caller_api.hpp
@@ -103,6 +103,10 @@
         exchange_id exchange, accepted_job const& job, monotonic_time sent_at,
         stored_job const& stored);
 
+    void on_cancellation_stored(
+        exchange_id exchange, job_id const& job, monotonic_time sent_at,
+        cancellation const& stored);
+
     event_loop& loop_;
     kv_store const& store_;
     configuration_follower const& configuration_;
--- a/src/spar-scheduler/scheduler_metrics.cpp
+++ b/src/spar-scheduler/scheduler_metrics.cpp
@@ -69,6 +69,11 @@
             {{"priority", std::to_string(priority)}});
     auto const& counts = from.counts();
     to.add_counter("spar_runs_ordered", "Runs ordered.", counts.ordered);
+    to.add_counter("spar_stops_ordered", "Stops ordered.", counts.stops);
+    to.add_gauge(
+        "spar_runs_of_ended_jobs",
+        "Live runs of jobs that have ended or are unknown.",
+        static_cast<double>(from.runs_of_ended_jobs()));
     for (auto const& [how, count] : counts.ended)
         to.add_counter(
             "spar_runs_ended", "Runs ended, by how.", count,
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -31,6 +31,16 @@
     return offset + duration_cast<milliseconds>(event_loop::time_since_boot());
 }
 
+void log_run(scheduling_event const& event, char const* name, char const* how)
+{
+    log_event(
+        log_level::info, name,
+        {{"task", to_string(event.run.task)},
+         {"run", event.run.number},
+         {"worker", event.worker.value},
+         {"how", how}});
+}
+
 } // namespace
 
 scheduling_term::scheduling_term(
@@ -188,7 +198,8 @@
         writer_->add_cancellation(parts->job);
         scheduler_->cancel_job(parts->job);
         log_event(
-            log_level::info, "job_cancelled", {{"job", parts->job.value}});
+            log_level::info, "job_cancelled",
+            {{"job", parts->job.value}, {"revision", item.revision}});
         return;
     }
     if (scheduler_->phase_of(parts->job))
@@ -254,21 +265,31 @@
 
 void scheduling_term::log_events()
 {
+    using kind = scheduling_event::kind;
     for (auto const& event : scheduler_->take_events()) {
-        if (event.type == scheduling_event::kind::job_ended) {
+        switch (event.type) {
+        case kind::job_ended:
             log_event(
                 log_level::info, "job_ended",
                 {{"job", event.run.task.job.value},
                  {"phase", to_string(event.phase)}});
-            continue;
+            break;
+        case kind::session_began:
+            log_event(
+                log_level::info, "session_began",
+                {{"worker", event.worker.value},
+                 {"void_orders", event.void_orders}});
+            break;
+        case kind::run_ordered:
+            log_run(event, "run_ordered", "start");
+            break;
+        case kind::stop_ordered:
+            log_run(event, "stop_ordered", "stop");
+            break;
+        case kind::run_ended:
+            log_run(event, "run_ended", to_string(event.how));
+            break;
         }
-        bool const is_end = event.type == scheduling_event::kind::run_ended;
-        log_event(
-            log_level::info, is_end ? "run_ended" : "run_ordered",
-            {{"task", to_string(event.run.task)},
-             {"run", event.run.number},
-             {"worker", event.worker.value},
-             {"how", is_end ? to_string(event.how) : "start"}});
     }
 }
 
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -2,6 +2,8 @@
 /// revision of the first page: what changed meanwhile is reported again.
 #include "store/prefix_watch.hpp"
 
+#include "common/log.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -53,6 +55,11 @@
     on_answer();
     revision_ = value(listing).revision;
     is_listed_ = true;
+    log_event(
+        log_level::info, "prefix_listed",
+        {{"prefix", prefix_},
+         {"items", value(listing).items.size()},
+         {"revision", revision_}});
     std::weak_ptr<bool> const guard = alive_;
     callbacks_.on_listed(value(listing).items);
     if (!guard.expired())
@@ -77,6 +84,9 @@
     }
     on_answer();
     if (value(answer).is_history_lost) {
+        log_event(
+            log_level::warning, "history_lost",
+            {{"prefix", prefix_}, {"revision", revision_}});
         list();
         return;
     }
--- a/tests/daemon_metrics_test.cpp
+++ b/tests/daemon_metrics_test.cpp
@@ -47,10 +47,34 @@
     CHECK(has_line(page, "spar_office_held 1"));
     CHECK(has_line(page, "spar_tasks_waiting{priority=\"0\"} 1"));
     CHECK(has_line(page, "spar_runs_ordered_total 1"));
+    CHECK(has_line(page, "spar_stops_ordered_total 0"));
+    CHECK(has_line(page, "spar_runs_of_ended_jobs 0"));
     CHECK(has_line(page, "spar_workers{state=\"usable\"} 1"));
     CHECK(has_line(page, "spar_job_acceptance_total 1"));
 }
 
+TEST_CASE("the scheduler's page counts runs that outlive their job")
+{
+    graph_scheduler scheduler(scheduler_term{7}, {}, {}, test_start);
+    scheduler.set_policy(test_policy());
+    test_runner a("a");
+    a.join(scheduler, test_start);
+    scheduler.add_job(
+        test_job("j1", "urgent", test_step(2, {1000, 1000, 0})), nullptr,
+        scheduler_term{7}, test_start);
+    scheduler.plan(test_start, 0ms);
+    scheduler.cancel_job(job_id{"j1"});
+    caller_counts const callers;
+    latency_histogram const submissions;
+    scheduler_metrics_source source;
+    source.callers = &callers;
+    source.submissions = &submissions;
+    source.scheduler = &scheduler;
+    auto const page = render_scheduler_metrics(source, test_start);
+    CHECK(has_line(page, "spar_stops_ordered_total 2"));
+    CHECK(has_line(page, "spar_runs_of_ended_jobs 2"));
+}
+
 TEST_CASE("the runner's page shows its calls and the lease")
 {
     run_tracker const keeper(worker_id{"a"}, incarnation{1});
