Order a stop again as long as the run is reported without it

Cause: a stop was decided once, when the leader learned of the cancellation, and lived only as an order of the runner's session. A restart of the runner or a refused token voids the orders of a session; a runner also confirms a stop for a run that it has not listed yet, without effect. In both cases the scheduler held the run as being stopped, or forgot that it should be, and never decided again unless another run of the same job ended. The class: a command sent on a change of state, without a comparison of wanted and reported state.

Ruled out: an acknowledgement without effect (every cancel_answered that no leader saw was has_ended, of a job that had ended before). A leader that learns of the cancellation late is another fault, traced apart.

Change: each run in a report says whether it is being stopped, and the scheduler compares each report with what should run. A run of an ended or unknown job or of a done task that isn't being stopped, and for which no stop is on its way, is ordered to stop, whoever lost the order and why. Reports of runners of the build before, which don't say it, are read.

The fixture of a correct runner in tests/graph_world.hpp now reports stops, as runners do.

--- a/src/libsycamorespar/graph_progress.cpp
+++ b/src/libsycamorespar/graph_progress.cpp
@@ -268,6 +268,12 @@
     return true;
 }
 
+bool graph_progress::needs_runs_of(task_id const& task) const
+{
+    auto const* const found = find(task);
+    return found != nullptr && !is_final(phase_) && !found->is_done;
+}
+
 void graph_progress::save_checkpoint(
     run_id const& run, std::string const& checkpoint)
 {
--- a/src/libsycamorespar/graph_progress.hpp
+++ b/src/libsycamorespar/graph_progress.hpp
@@ -140,6 +140,9 @@
     /// \return false if the task is unknown or done, has another live run or
     /// had a later one.
     bool adopt_run(run_id const& run);
+    /// False if a run of the task contributes nothing more: the job has ended,
+    /// or the task is done.
+    bool needs_runs_of(task_id const& task) const;
     /// Stores the checkpoint of a live run; an empty one is ignored.
     void save_checkpoint(run_id const& run, std::string const& checkpoint);
     /// Counts the failure of a run that is no longer live, as a worker may
--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -387,10 +387,11 @@
     registered_worker& worker, run_report const& reported, monotonic_time now)
 {
     auto const& run = reported.run;
-    if (worker.unknown_runs.contains(run))
-        return;
-    if (!worker.runs.contains(run) && !adopt_run(worker, run)) {
-        stop_unknown_run(worker, run);
+    bool const is_unknown =
+        worker.unknown_runs.contains(run) ||
+        (!worker.runs.contains(run) && !adopt_run(worker, run));
+    if (is_unknown) {
+        stop_unknown_run(worker, reported);
         return;
     }
     auto& placed = worker.runs.at(run);
@@ -402,6 +403,7 @@
     auto& job = *find_job(run.task.job);
     job.progress.save_checkpoint(run, reported.checkpoint);
     check_progress(worker, reported, job.progress.step_of(run.task), now);
+    stop_unneeded_run(worker, placed, reported);
     if (reported.is_known || placed.is_described || placed.order != 0)
         return;
     placed.is_described = true;
@@ -430,13 +432,30 @@
     order_stop(worker, reported.run);
 }
 
-void graph_scheduler::stop_unknown_run(
-    registered_worker& worker, run_id const& run)
+// Orders are lost with the session of a runner, and have no effect on a run
+// that the runner has not listed yet. Each report is therefore compared with
+// what should be running, so that a lost stop is ordered again.
+void graph_scheduler::stop_unneeded_run(
+    registered_worker& worker, placed_run& placed, run_report const& reported)
 {
-    worker.unknown_runs.insert(run);
+    auto const& run = reported.run;
+    bool const is_stop_lost = placed.is_stopping && !reported.is_stopping &&
+                              !worker.has_stop_order(run);
+    auto const& progress = find_job(run.task.job)->progress;
+    if (!is_stop_lost && progress.needs_runs_of(run.task))
+        return;
+    placed.is_stopping = placed.is_stopping && !is_stop_lost;
     order_stop(worker, run);
 }
 
+void graph_scheduler::stop_unknown_run(
+    registered_worker& worker, run_report const& reported)
+{
+    worker.unknown_runs.insert(reported.run);
+    if (!reported.is_stopping && !worker.has_stop_order(reported.run))
+        order_stop(worker, reported.run);
+}
+
 void graph_scheduler::end_run(
     registered_worker& worker, run_id const& run, run_end how,
     std::string const& checkpoint, monotonic_time now)
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -271,7 +271,11 @@
     void check_progress(
         registered_worker& worker, run_report const& reported,
         graph_step const& step, monotonic_time now);
-    void stop_unknown_run(registered_worker& worker, run_id const& run);
+    void
+    stop_unknown_run(registered_worker& worker, run_report const& reported);
+    void stop_unneeded_run(
+        registered_worker& worker, placed_run& placed,
+        run_report const& reported);
     void end_missing_runs(
         registered_worker& worker, runner_report const& report,
         monotonic_time now);
--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -143,7 +143,8 @@
         report.runs.push_back(
             {run, tracked.start_stage == tracked_run::stage::started,
              tracked.is_known, tracked.latest.checkpoint,
-             tracked.latest.percent, tracked.latest.measurement, pace_of(run)});
+             tracked.latest.percent, tracked.latest.measurement, pace_of(run),
+             tracked.must_stop});
     report.ends = ends_;
     report.refusals = refusals_;
     sent_[sequence_] = {
--- a/src/libsycamorespar/runner_messages.hpp
+++ b/src/libsycamorespar/runner_messages.hpp
@@ -71,6 +71,8 @@
     std::int64_t measurement = 0;
     /// The percentage of full speed that the runner allows it, up to 100.
     std::uint32_t pace = 100;
+    /// True if the runner is carrying out an order to stop it.
+    bool is_stopping = false;
 
     bool operator==(run_report const&) const = default;
 };
--- a/src/libsycamorespar/worker_registry.cpp
+++ b/src/libsycamorespar/worker_registry.cpp
@@ -215,6 +215,15 @@
     return true;
 }
 
+bool registered_worker::has_stop_order(run_id const& run) const
+{
+    return std::any_of(
+        orders.begin(), orders.end(), [&](runner_order const& order) {
+            auto const* const stop = std::get_if<stop_order>(&order);
+            return stop != nullptr && stop->run == run;
+        });
+}
+
 void registered_worker::begin_session(
     incarnation started, std::uint64_t new_token)
 {
--- a/src/libsycamorespar/worker_registry.hpp
+++ b/src/libsycamorespar/worker_registry.hpp
@@ -120,6 +120,8 @@
     /// Queues a stop order.
     /// \return false if the run is already being stopped.
     bool order_stop(run_id const& run);
+    /// True if a stop order for the run is not confirmed yet.
+    bool has_stop_order(run_id const& run) const;
     /// Resets the session for a new incarnation of the runner, which has
     /// received no orders.
     void begin_session(incarnation started, std::uint64_t new_token);
--- a/src/runners/runner_codec.cpp
+++ b/src/runners/runner_codec.cpp
@@ -148,6 +148,13 @@
     }
 }
 
+/// Runners of an earlier build don't say whether a run is being stopped.
+bool read_is_stopping(json const& run)
+{
+    constexpr std::size_t position = 7;
+    return run.size() > position && run.at(position).get<bool>();
+}
+
 std::string pack(json const& message)
 {
     auto const bytes = json::to_msgpack(message);
@@ -173,7 +180,8 @@
     for (auto const& each : report.runs)
         runs.push_back(json::array(
             {write_run(each.run), each.has_started, each.is_known,
-             each.checkpoint, each.percent, each.measurement, each.pace}));
+             each.checkpoint, each.percent, each.measurement, each.pace,
+             each.is_stopping}));
     json ends = json::array();
     for (auto const& each : report.ends)
         ends.push_back(json::array(
@@ -209,7 +217,7 @@
                  each.at(2).get<bool>(), each.at(3).get<std::string>(),
                  each.at(4).get<std::uint32_t>(),
                  each.at(5).get<std::int64_t>(),
-                 each.at(6).get<std::uint32_t>()});
+                 each.at(6).get<std::uint32_t>(), read_is_stopping(each)});
         for (auto const& each : from.at(10))
             report.ends.push_back(
                 {each.at(0).get<std::uint64_t>(), read_run(each.at(1)),
--- a/tests/graph_records_test.cpp
+++ b/tests/graph_records_test.cpp
@@ -5,6 +5,7 @@
 #include "runners/runner_codec.hpp"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace sycamorespar;
 using namespace std::chrono_literals;
@@ -60,7 +61,7 @@
     report.is_reachable = false;
     report.last_order = 4;
     run_id const run{{job_id{"0123456789abcdef"}, 1, 2, 3}, 4};
-    report.runs = {{run, true, true, "saved", 40, 12, 55}};
+    report.runs = {{run, true, true, "saved", 40, 12, 55, true}};
     report.ends = {{7, run, run_end::broken, "saved"}};
     report.refusals = {{run, refusal_reason::no_answer}};
     return report;
@@ -122,6 +123,19 @@
     CHECK(value(read) == full_report());
 }
 
+TEST_CASE("a report of a runner that doesn't tell of stops is read")
+{
+    auto report = nlohmann::json::from_msgpack(write_report(full_report()));
+    constexpr std::size_t runs = 9;
+    constexpr std::size_t is_stopping = 7;
+    for (auto& run : report.at(runs))
+        run.erase(is_stopping);
+    auto const bytes = nlohmann::json::to_msgpack(report);
+    auto const read = read_report({bytes.begin(), bytes.end()});
+    REQUIRE(ok(read));
+    CHECK_FALSE(value(read).runs.at(0).is_stopping);
+}
+
 TEST_CASE("a reply is read back as written")
 {
     auto const read = read_reply(write_reply(full_reply()));
--- a/tests/graph_world.hpp
+++ b/tests/graph_world.hpp
@@ -95,6 +95,10 @@
                 continue;
             report.last_order = number_of(order);
             fresh.push_back(order);
+            if (auto const* stop = std::get_if<stop_order>(&order)) {
+                for (auto& run : report.runs)
+                    run.is_stopping = run.is_stopping || run.run == stop->run;
+            }
             if (auto const* start = std::get_if<start_order>(&order)) {
                 run_report run;
                 run.run = start->run;
