--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -178,17 +178,26 @@
         waiting_.insert(queue_entry(job, task));
 }
 
+void graph_scheduler::order_stop(registered_worker& worker, run_id const& run)
+{
+    if (!worker.order_stop(run))
+        return;
+    ++counts_.stops;
+    events_.push_back(
+        {scheduling_event::kind::stop_ordered, run, worker.id, {}, {}, 0});
+}
+
 void graph_scheduler::stop_live_runs(job_entry const& job)
 {
     for (auto const& [run, worker] : job.live_runs)
-        workers_.at(worker).order_stop(run);
+        order_stop(workers_.at(worker), run);
 }
 
 void graph_scheduler::stop_copies(job_entry const& job, task_id const& task)
 {
     for (auto const& [run, worker] : job.live_runs) {
         if (run.task == task)
-            workers_.at(worker).order_stop(run);
+            order_stop(workers_.at(worker), run);
     }
 }
 
@@ -208,9 +217,17 @@
                                  report.sequence <= worker.last_sequence;
     if (is_older_incarnation || is_older_report)
         return false;
-    if (worker.runner != report.runner)
+    if (worker.runner != report.runner) {
+        events_.push_back(
+            {scheduling_event::kind::session_began,
+             {},
+             worker.id,
+             {},
+             {},
+             worker.orders.size()});
         worker.begin_session(
             report.runner, term_.value * sessions_per_term + ++session_count_);
+    }
     if (!(worker.facts.incarnation == report.facts.incarnation))
         begin_incarnation(worker, report, now);
     worker.facts = report.facts;
@@ -370,10 +387,11 @@
     registered_worker& worker, run_report const& reported, monotonic_time now)
 {
     auto const& run = reported.run;
-    if (worker.unknown_runs.contains(run))
-        return;
-    if (!worker.runs.contains(run) && !adopt_run(worker, run)) {
-        stop_unknown_run(worker, run);
+    bool const is_unknown =
+        worker.unknown_runs.contains(run) ||
+        (!worker.runs.contains(run) && !adopt_run(worker, run));
+    if (is_unknown) {
+        stop_unknown_run(worker, reported);
         return;
     }
     auto& placed = worker.runs.at(run);
@@ -385,6 +403,7 @@
     auto& job = *find_job(run.task.job);
     job.progress.save_checkpoint(run, reported.checkpoint);
     check_progress(worker, reported, job.progress.step_of(run.task), now);
+    stop_unneeded_run(worker, placed, reported);
     if (reported.is_known || placed.is_described || placed.order != 0)
         return;
     placed.is_described = true;
@@ -410,14 +429,31 @@
         return;
     worker.cooldown_until =
         std::max(worker.cooldown_until, now + limits_.stall_cooldown);
-    worker.order_stop(reported.run);
+    order_stop(worker, reported.run);
+}
+
+// Orders are lost with the session of a runner, and have no effect on a run
+// that the runner has not listed yet. Each report is therefore compared with
+// what should be running, so that a lost stop is ordered again.
+void graph_scheduler::stop_unneeded_run(
+    registered_worker& worker, placed_run& placed, run_report const& reported)
+{
+    auto const& run = reported.run;
+    bool const is_stop_lost = placed.is_stopping && !reported.is_stopping &&
+                              !worker.has_stop_order(run);
+    auto const& progress = find_job(run.task.job)->progress;
+    if (!is_stop_lost && progress.needs_runs_of(run.task))
+        return;
+    placed.is_stopping = placed.is_stopping && !is_stop_lost;
+    order_stop(worker, run);
 }
 
 void graph_scheduler::stop_unknown_run(
-    registered_worker& worker, run_id const& run)
+    registered_worker& worker, run_report const& reported)
 {
-    worker.unknown_runs.insert(run);
-    worker.order_stop(run);
+    worker.unknown_runs.insert(reported.run);
+    if (!reported.is_stopping && !worker.has_stop_order(reported.run))
+        order_stop(worker, reported.run);
 }
 
 void graph_scheduler::end_run(
@@ -437,7 +473,7 @@
     bool const was_final = is_final(job->progress.phase());
     ++counts_.ended[how];
     events_.push_back(
-        {scheduling_event::kind::run_ended, run, worker.id, how, {}});
+        {scheduling_event::kind::run_ended, run, worker.id, how, {}, 0});
     update_health(worker, run, how, now);
     auto const due = job->progress.end_run(run, how, checkpoint);
     mark_changed(run.task.job);
@@ -659,7 +695,7 @@
             if (workers_.choose_alternative(
                     query, id, policy_.closed_domains, now) == nullptr)
                 continue;
-            worker.order_stop(run);
+            order_stop(worker, run);
             break;
         }
     }
@@ -751,7 +787,7 @@
     job.live_runs.emplace(run, worker.id);
     ++counts_.ordered;
     events_.push_back(
-        {scheduling_event::kind::run_ordered, run, worker.id, {}, {}});
+        {scheduling_event::kind::run_ordered, run, worker.id, {}, {}, 0});
     auto hints = placed.facts.fills
                      ? workers_.hints_for(worker, placed.facts.image)
                      : std::vector<contention_hint>{};
@@ -828,7 +864,8 @@
     ++counts_.jobs_ended[phase];
     run_id run;
     run.task.job = job.progress.graph().id;
-    events_.push_back({scheduling_event::kind::job_ended, run, {}, {}, phase});
+    events_.push_back(
+        {scheduling_event::kind::job_ended, run, {}, {}, phase, 0});
 }
 
 std::vector<scheduling_event> graph_scheduler::take_events()
@@ -844,6 +881,18 @@
     return counts;
 }
 
+std::size_t graph_scheduler::runs_of_ended_jobs() const
+{
+    std::size_t count = 0;
+    for (auto const& [id, job] : jobs_) {
+        if (is_final(job.progress.phase()))
+            count += job.live_runs.size();
+    }
+    for (auto const& [id, worker] : workers_.all())
+        count += worker.unknown_runs.size();
+    return count;
+}
+
 std::size_t graph_scheduler::open_jobs() const
 {
     return static_cast<std::size_t>(
--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -143,7 +143,8 @@
         report.runs.push_back(
             {run, tracked.start_stage == tracked_run::stage::started,
              tracked.is_known, tracked.latest.checkpoint,
-             tracked.latest.percent, tracked.latest.measurement, pace_of(run)});
+             tracked.latest.percent, tracked.latest.measurement, pace_of(run),
+             tracked.must_stop});
     report.ends = ends_;
     report.refusals = refusals_;
     sent_[sequence_] = {
@@ -207,8 +208,10 @@
     }
     if (auto const* stop = std::get_if<stop_order>(&order)) {
         auto const found = runs_.find(stop->run);
-        if (found == runs_.end())
+        if (found == runs_.end()) {
+            ++ignored_stops_;
             return;
+        }
         auto& tracked = found->second;
         if (tracked.start_stage == tracked_run::stage::ordered &&
             tracked.unanswered == 0) {
