Send the pace of a backfill task again while it is unknown

What callers saw: nothing yet.

Cause: the runner counted a pace that was not accepted, and that of a run that it found on the worker's list, as full speed. Full speed was then never sent again, so the task stayed at the pace that this or an earlier process had set before, 0 % at worst, while the runner reported 100 %. A lasting or gang task stays so for good; others are stopped as stalled and moved.

Ruled out: asking the worker, which lists no paces.

Change: the pace in effect is unknown after a call that was not accepted, and for a run that was found on the list; an unknown pace is always sent. It costs one call for each backfill task and restart of a runner.

Evidence: the two new cases of pace_control_test failed before (no pace was sent) and pass now. pace_control_test and run_tracker_test pass.

--- a/src/libsycamorespar/pace_control.cpp
+++ b/src/libsycamorespar/pace_control.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr double full_percent = 100.0;
+/// The pace of a task that was never slowed, in percent.
+constexpr std::uint32_t full_pace = 100;
 
 /// Progress at which a serving task handles requests and has a tail latency.
 constexpr std::uint32_t serving_percent = 100;
@@ -28,6 +29,15 @@
            tracked.latest.percent == serving_percent;
 }
 
+/// The pace before any was sent; none if an earlier process of the runner may
+/// have sent one.
+std::optional<std::uint32_t> first_pace(tracked_run const& backfill)
+{
+    if (backfill.is_found)
+        return std::nullopt;
+    return full_pace;
+}
+
 double tail_of(tracked_run const& serving)
 {
     return static_cast<double>(serving.latest.measurement) /
@@ -160,6 +170,13 @@
     }
 }
 
+bool pace_control::is_change(std::uint32_t from, std::uint32_t to) const
+{
+    auto const change = to > from ? to - from : from - to;
+    bool const is_bound = to == 0 || to == full_pace;
+    return change != 0 && (change >= limits_.min_change || is_bound);
+}
+
 std::vector<pace_change>
 pace_control::take_changes(std::map<run_id, tracked_run> const& runs)
 {
@@ -180,11 +197,10 @@
     std::vector<pace_change> changes;
     for (auto const& [run, speed] : speeds) {
         auto const percent =
-            static_cast<std::uint32_t>(std::lround(speed * full_percent));
-        auto& sent = sent_percents_.try_emplace(run, 100U).first->second;
-        auto const change = percent > sent ? percent - sent : sent - percent;
-        bool const is_bound = percent == 0 || percent == 100;
-        if (change == 0 || (change < limits_.min_change && !is_bound))
+            static_cast<std::uint32_t>(std::lround(speed * double{full_pace}));
+        auto const first = first_pace(runs.at(run));
+        auto& sent = sent_percents_.try_emplace(run, first).first->second;
+        if (sent && !is_change(*sent, percent))
             continue;
         sent = percent;
         changes.push_back({run, percent});
@@ -195,13 +211,15 @@
 std::uint32_t pace_control::pace_of(run_id const& run) const
 {
     auto const found = sent_percents_.find(run);
-    return found == sent_percents_.end() ? 100U : found->second;
+    return found == sent_percents_.end() ? full_pace
+                                         : found->second.value_or(full_pace);
 }
 
 void pace_control::on_pace_result(pace_change const& change, bool was_accepted)
 {
-    if (!was_accepted)
-        sent_percents_.erase(change.run);
+    auto const found = sent_percents_.find(change.run);
+    if (!was_accepted && found != sent_percents_.end())
+        found->second.reset();
 }
 
 } // namespace sycamorespar
--- a/src/libsycamorespar/pace_control.hpp
+++ b/src/libsycamorespar/pace_control.hpp
@@ -61,14 +61,15 @@
         monotonic_time now);
     /// Applies the scheduler's estimates of contention.
     void apply_hints(std::vector<contention_hint> const& hints);
-    /// Returns the paces that differ from those last sent. A run without a sent
-    /// pace works at full speed.
+    /// Returns the paces that differ from those in effect, and those of runs
+    /// whose pace in effect is unknown. A run that was started here works at
+    /// full speed until another pace is sent.
     std::vector<pace_change>
     take_changes(std::map<run_id, tracked_run> const& runs);
-    /// Pace last sent to a run, in percent; 100 if none was sent.
+    /// Pace last sent to a run, in percent; 100 if none was sent or accepted.
     std::uint32_t pace_of(run_id const& run) const;
-    /// Processes the result of sending a pace; a pace that was not accepted is
-    /// sent again.
+    /// Processes the result of sending a pace. After one that was not accepted
+    /// the pace in effect is unknown.
     void on_pace_result(pace_change const& change, bool was_accepted);
 
 private:
@@ -80,6 +81,7 @@
         run_id const& serving, tracked_run const& tracked,
         std::map<run_id, tracked_run> const& runs,
         std::map<run_id, double>& speeds) const;
+    bool is_change(std::uint32_t from, std::uint32_t to) const;
     double share_of(std::int64_t millicores) const;
     double effective_share(tracked_run const& backfill, monotonic_time now);
     double contention_of(
@@ -92,7 +94,8 @@
     std::optional<monotonic_time> model_updated_at_;
     std::map<run_id, monotonic_time> missed_since_;
     std::map<run_id, monotonic_time> first_seen_at_;
-    std::map<run_id, std::uint32_t> sent_percents_;
+    /// The pace in effect of each backfill task; none while it is unknown.
+    std::map<run_id, std::optional<std::uint32_t>> sent_percents_;
 };
 
 } // namespace sycamorespar
--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -408,6 +408,7 @@
     auto& tracked = added.first->second;
     if (added.second) {
         tracked.order.run = listed.run;
+        tracked.is_found = true;
         has_updates_ = true;
     }
     if (tracked.start_stage != tracked_run::stage::started) {
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -144,6 +144,9 @@
     start_order order;
     /// True if the task's properties are known.
     bool is_known = false;
+    /// True if it was found on the worker's list instead of ordered here: an
+    /// earlier process of the runner may have changed its pace.
+    bool is_found = false;
     /// The number of starts that had no answer.
     std::uint32_t unanswered = 0;
     /// True if a stop was ordered.
--- a/tests/pace_control_test.cpp
+++ b/tests/pace_control_test.cpp
@@ -117,3 +117,35 @@
     b.pacing.on_pace_result({backfill, first.at(backfill)}, false);
     CHECK(b.step().contains(backfill));
 }
+
+// A backfill task stayed slowed for good, as the lost pace counted as full.
+TEST_CASE("full speed that was not accepted is sent again")
+{
+    bench b;
+    auto const serving = b.add_serving("s1", 30);
+    auto const backfill = b.add_backfill("f1", "heavy");
+    for (int at = 0; at < 8; ++at)
+        b.step();
+    REQUIRE(b.pacing.pace_of(backfill) == 0);
+    b.runs.erase(serving);
+    auto const freed = b.step();
+    REQUIRE(freed.contains(backfill));
+    REQUIRE(freed.at(backfill) == 100);
+    b.pacing.on_pace_result({backfill, 100}, false);
+    auto const again = b.step();
+    REQUIRE(again.contains(backfill));
+    CHECK(again.at(backfill) == 100);
+    CHECK(b.step().empty());
+}
+
+// A backfill task stayed slowed for good after its runner had restarted.
+TEST_CASE("a backfill task that was found on the worker is set to its pace")
+{
+    bench b;
+    auto const backfill = b.add_backfill("f1", "heavy");
+    b.runs[backfill].is_found = true;
+    auto const first = b.step();
+    REQUIRE(first.contains(backfill));
+    CHECK(first.at(backfill) == 100);
+    CHECK(b.step().empty());
+}
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -375,3 +375,20 @@
     CHECK(f.tracker.on_announcement(f.facts, 10ms, f.now));
     CHECK_FALSE(f.report().facts.has_left);
 }
+
+TEST_CASE("a run on the worker's list that was not ordered here is found")
+{
+    fixture f;
+    f.join();
+    f.list({f.listed()}, {});
+    CHECK(f.tracker.runs().at(run).is_found);
+}
+
+TEST_CASE("a run that was ordered here is not found")
+{
+    fixture f;
+    f.join();
+    f.order_start();
+    f.list({f.listed()}, {});
+    CHECK_FALSE(f.tracker.runs().at(run).is_found);
+}
