Ignore a late leave of a worker's earlier life under the same name

What callers saw: nothing yet. The runs of a worker that is still there could go on for good, unknown to the scheduler, after their jobs were cancelled, and beside second runs of their tasks.

Cause: a worker may start again under the name that it had, and its leave names no start time. A leave of the life before, for example one that waited while the runner was frozen, made the runner drop the runs of the new life and ignore its lists and announcements, while its polls went on extending the lease.

Ruled out: telling the two apart by the time of the message, which a leave doesn't carry.

Change: a leave counts only for a worker that has announced that it drains, as each does for seconds before it leaves. A true leave whose announcements were all lost is noticed as before when the worker no longer answers. If the new life drains as well before the late leave arrives, it is still taken for its own.

The test of a worker that leaves now lets it drain first, as a worker does.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -63,10 +63,12 @@
 }
 
 // All runs can be dropped: a worker drains for seconds before it leaves, so the
-// deadline of any delayed start has passed.
+// deadline of any delayed start has passed. A leave of a worker that doesn't
+// drain is a late one of an earlier life, which had the same name.
 bool run_tracker::on_leave(std::string const& instance)
 {
-    if (!has_worker_ || facts_.incarnation.instance != instance)
+    if (!has_worker_ || facts_.incarnation.instance != instance ||
+        !facts_.is_draining)
         return false;
     facts_.has_left = true;
     runs_.clear();
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -175,7 +175,8 @@
     bool on_announcement(
         worker_facts const& facts, worker_time at, monotonic_time now);
     /// The worker has announced that it leaves.
-    /// \return false if that instance is not the current incarnation.
+    /// \return false if that instance is not the current incarnation, or isn't
+    /// draining.
     bool on_leave(std::string const& instance);
     /// True once the worker has announced itself.
     bool has_worker() const { return has_worker_; }
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -70,6 +70,13 @@
         reply(report().sequence, {stop_order{next_order++, run}});
     }
 
+    /// The worker announces that it drains, as it does before it leaves.
+    void drain()
+    {
+        facts.is_draining = true;
+        tracker.on_announcement(facts, tracker.clock_at_least(now), now);
+    }
+
     listed_run listed() const
     {
         listed_run made;
@@ -362,6 +369,7 @@
     fixture f;
     f.join();
     f.order_start();
+    f.drain();
     CHECK_FALSE(f.tracker.on_leave("i-other"));
     CHECK(f.tracker.on_leave("i-1"));
     CHECK(f.report().facts.has_left);
@@ -376,6 +384,25 @@
     CHECK_FALSE(f.report().facts.has_left);
 }
 
+// The runs of a worker that had not left went on, unknown to the scheduler.
+TEST_CASE("a late leave of an earlier life under the same name is ignored")
+{
+    fixture f;
+    f.join();
+    f.drain();
+    f.facts.incarnation.born = 5000ms;
+    f.facts.is_draining = false;
+    f.tracker.on_announcement(f.facts, 10ms, f.now);
+    f.list({f.listed()}, {});
+    REQUIRE(f.has_run());
+    CHECK_FALSE(f.tracker.on_leave("i-1"));
+    CHECK(f.has_run());
+    CHECK_FALSE(f.report().facts.has_left);
+    f.drain();
+    CHECK(f.tracker.on_leave("i-1"));
+    CHECK_FALSE(f.has_run());
+}
+
 TEST_CASE("a run on the worker's list that was not ordered here is found")
 {
     fixture f;
