Send a confirmed stop again if its run goes on

What callers saw: nothing yet.

Cause: once the worker had confirmed a stop, the runner never sent it again, although the run stayed on the list. An answer names neither the worker's life nor its start, so one of the life before, which had the same name, counts for a run of the new life, which a late start may have begun.

Ruled out: a confirmation without effect by the same life of the worker, which rejects that run number for good.

Change: a confirmed stop of a run that is still there is sent again every 1.5 s, longer than a stop takes.

Also added to cancelled_runs_test: eight more orders of events around a cancellation (restarts in a row, changes of leader, a record that expires, a run that the runner forgets). They pass without this change.

Evidence: the case of the confirmed stop failed before (the run went on) and passes now. cancelled_runs_test and run_tracker_test pass.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -268,9 +268,11 @@
             (tracked.must_stop &&
              tracked.start_stage == tracked_run::stage::started) ||
             tracked.start_stage == tracked_run::stage::revoking;
-        if (!wanted || tracked.stop_confirmed ||
-            (tracked.stop_sent &&
-             now - *tracked.stop_sent < limits_.stop_retry))
+        // A confirmed stop is sent again if the run is still there long after:
+        // an earlier life of the worker may have confirmed it.
+        auto const pause = tracked.stop_confirmed ? limits_.confirmed_stop_retry
+                                                  : limits_.stop_retry;
+        if (!wanted || (tracked.stop_sent && now - *tracked.stop_sent < pause))
             continue;
         tracked.stop_sent = now;
         calls.push_back({run, token_});
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -34,6 +34,9 @@
     std::uint32_t max_start_attempts = 3;
     /// Pause before a stop without an answer is sent again.
     std::chrono::milliseconds stop_retry{300};
+    /// Pause before a confirmed stop of a run that is still there is sent
+    /// again; more than a stop takes.
+    std::chrono::milliseconds confirmed_stop_retry{1500};
     /// A worker that answers no poll for this long is unreachable. Its lease is
     /// no longer extended, so that its runs are known to be gone once the lease
     /// has lapsed.
--- a/tests/cancelled_runs_test.cpp
+++ b/tests/cancelled_runs_test.cpp
@@ -48,6 +48,14 @@
         tracker->on_announcement(facts, clock, now);
     }
 
+    /// A new leader finds the jobs' records; cancellations are recorded.
+    void change_leader()
+    {
+        scheduler_term const next{scheduler.term().value + 1};
+        scheduler = graph_scheduler(next, {worker_id{"a"}}, {}, now);
+        scheduler.set_policy(test_policy());
+    }
+
     void report()
     {
         auto const sent =
@@ -176,3 +184,102 @@
     r.settle();
     CHECK(r.running.empty());
 }
+
+// UNASKED on trms-sky-grown: other orders of the same events.
+TEST_CASE("a cancelled job's run is stopped whatever happens meanwhile")
+{
+    rig r;
+    r.run_lasting_job("j1", 1);
+
+    SECTION("the runner restarts twice")
+    {
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.report();
+        r.start_runner();
+        r.report();
+        r.report();
+        r.start_runner();
+    }
+    SECTION("the runner restarts again after it has listed the run")
+    {
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.start_runner();
+        r.report();
+        r.poll();
+        r.report();
+        r.start_runner();
+    }
+    SECTION("the leader changes")
+    {
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.report();
+        r.change_leader();
+    }
+    SECTION("the leader changes and the runner restarts")
+    {
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.report();
+        r.change_leader();
+        r.start_runner();
+    }
+    SECTION("the leader changes twice and the token is refused")
+    {
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.change_leader();
+        r.report();
+        r.poll();
+        r.tracker->on_token_refused(r.tracker->token());
+        r.tracker->begin_session(incarnation{++r.runner_incarnations});
+        r.change_leader();
+    }
+    SECTION("the job's record expires while the worker is silent")
+    {
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.report();
+        r.start_runner();
+        r.now += 20s;
+        r.clock += 20s;
+        r.scheduler.plan(r.now, 0ms);
+        record_all(r.scheduler);
+        r.scheduler.drop_job(job_id{"j1"});
+        REQUIRE_FALSE(r.scheduler.phase_of(job_id{"j1"}));
+    }
+    SECTION("the run is missing on one list")
+    {
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.report();
+        auto const running = std::exchange(r.running, {});
+        r.poll();
+        r.running = running;
+        r.clock += turn;
+        r.poll();
+    }
+    SECTION("the runner forgets the run and lists it again in one report")
+    {
+        r.report();
+        r.scheduler.cancel_job(job_id{"j1"});
+        r.report();
+        r.clock += turn;
+        auto const running = std::exchange(r.running, {});
+        r.poll();
+        r.running = running;
+        r.clock += turn;
+        r.poll();
+        r.report();
+    }
+    r.settle();
+    CHECK(r.running.empty());
+    CHECK(r.scheduler.runs_of_ended_jobs() == 0);
+}
+
+// A stop that an earlier life of the worker has answered had no effect.
+TEST_CASE("a run is stopped although a stop of an earlier life is confirmed")
+{
+    rig r;
+    r.run_lasting_job("j1", 1);
+    auto const run = r.running.front().run;
+    r.scheduler.cancel_job(job_id{"j1"});
+    r.tracker->on_stop_result(run, call_outcome::accepted, r.clock, r.now);
+    r.settle();
+    CHECK(r.running.empty());
+}
