Repeat a claim or hand-over of the leadership that was not written

What callers saw: nothing yet. A leader that is too small for its load answers late and delays all work; it stayed the leader for good.

Cause: a larger process claims the leadership once for each term, and a smaller leader hands over once for each claim. Where that write failed, only a log line was left. The claim waited for the next change of the leader's key, which renewals of the lease don't cause.

Ruled out: a write of unknown outcome that takes effect late; both writes hold the term as their condition, so that a repetition has no effect after it.

Change: both are repeated after the delay of a claim, as long as the term lasts.

Evidence: both sections of the new case of store_parts_test failed before (no leader change in 20 s) and pass now.

--- a/src/store/leader_election.cpp
+++ b/src/store/leader_election.cpp
@@ -201,8 +201,9 @@
         if (guard.expired() || ok(written))
             return;
         log_error("office_not_claimed", failure(written));
-        // The next change of the leader's key claims again.
         claimed_from_ = {};
+        if (leader_)
+            schedule_claim();
     });
 }
 
@@ -227,11 +228,25 @@
         {{leader_key, leader_->term.value}},
         {},
         {leader_key, leader_claim_key}};
-    store_.write(write, [](result<kv_write_result> const& written) {
-        // The watch reports the removal; after a failed write this process
-        // stays the leader.
-        if (!ok(written))
+    std::weak_ptr<bool> const guard = alive_;
+    store_.write(
+        write, [this, guard, term = leader_->term](auto const& written) {
+            // The watch reports the removal.
+            if (guard.expired() || ok(written))
+                return;
             log_error("office_not_handed_over", failure(written));
+            hand_over_later(term);
+        });
+}
+
+void leader_election::hand_over_later(scheduler_term term)
+{
+    std::weak_ptr<bool> const guard = alive_;
+    loop_.after(limits_.claim_delay, [this, guard, term] {
+        bool const still_leads =
+            !guard.expired() && is_leader_ && leader_->term == term;
+        if (still_leads)
+            hand_over();
     });
 }
 
--- a/src/store/leader_election.hpp
+++ b/src/store/leader_election.hpp
@@ -117,6 +117,7 @@
     void schedule_claim();
     void claim();
     void hand_over();
+    void hand_over_later(scheduler_term term);
     void try_to_acquire();
     void acquire_with(kv_lease const& lease);
     void retry_later();
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -20,7 +20,26 @@
 {
     event_loop loop;
     memory_kv kv{loop};
-    kv_store store = kv.store();
+    kv_store store = failing_store();
+    /// The writes that fail without being carried out.
+    std::function<bool(kv_write const&)> fail_writes_of;
+
+    kv_store failing_store()
+    {
+        auto made = kv.store();
+        made.write = [this, write = made.write](
+                         kv_write const& what,
+                         kv_store::callback<kv_write_result> on_result) {
+            if (!fail_writes_of || !fail_writes_of(what)) {
+                write(what, std::move(on_result));
+                return;
+            }
+            loop.after(duration::zero(), [on_result = std::move(on_result)] {
+                on_result(error{"kv.write", "", "fails", outcome::not_run});
+            });
+        };
+        return made;
+    }
 
     void run_for(std::chrono::milliseconds span)
     {
@@ -291,6 +310,33 @@
     CHECK_FALSE(fixture.kv.items().contains(leader_claim_key));
 }
 
+// A leader too small for its load stayed, as its hand-over was lost.
+TEST_CASE("a small leader hands over although the store fails meanwhile")
+{
+    store_fixture fixture;
+    candidate small(fixture, 1, 100);
+    REQUIRE(fixture.run_until([&] { return small.election.is_leader(); }));
+    candidate large(fixture, 2, 500);
+    bool is_failing = true;
+    SECTION("at the claim")
+    {
+        fixture.fail_writes_of = [&](kv_write const& write) {
+            return !write.puts.empty() &&
+                   write.puts.front().key == leader_claim_key &&
+                   std::exchange(is_failing, false);
+        };
+    }
+    SECTION("at the hand-over")
+    {
+        fixture.fail_writes_of = [&](kv_write const& write) {
+            return write.removals.size() == 2 &&
+                   std::exchange(is_failing, false);
+        };
+    }
+    CHECK(fixture.run_until([&] { return large.election.is_leader(); }));
+    CHECK_FALSE(is_failing);
+}
+
 TEST_CASE("a process slightly larger than the leader doesn't replace it")
 {
     store_fixture fixture;
