Remove a worker's record although the write met another conflict

What callers saw: nothing yet. Each later leader waits for a recorded worker that is gone, until the lease time is over, before it starts tasks of jobs that were accepted before its term.

Cause: a removal shares a write with the progress of jobs. When that write met any conflict, each removal in it was dropped for the rest of the term, although only a record with an unexpected revision has to be kept. A progress record has an unexpected revision after each write whose answer was lost.

Ruled out: the record of a worker that is back; it has another revision, and is kept as before.

Change: only the removals whose own record has an unexpected revision, or none, are dropped.

Evidence: the new case of store_parts_test failed before (the record was still there) and passes now, as does all of store_parts_test.

--- a/src/records/record_writer.cpp
+++ b/src/records/record_writer.cpp
@@ -227,7 +227,9 @@
     batch const& sent, kv_write_result const& written)
 {
     bool is_still_leader = false;
+    std::map<std::string, kv_revision> current;
     for (auto const& item : written.current) {
+        current[item.key] = item.revision;
         if (item.key == leader_key)
             is_still_leader = item.revision == term_.value;
         if (auto const job = after_prefix(item.key, progress_prefix))
@@ -235,9 +237,14 @@
     }
     return_unwritten(sent);
     // A record with an unexpected revision is kept; a later leader then has to
-    // wait for that worker.
-    for (auto const& worker : sent.removed_workers)
-        removed_workers_.erase(worker);
+    // wait for that worker. The others are removed by a later write.
+    for (auto const& worker : sent.removed_workers) {
+        auto const found = current.find(worker_key(worker));
+        auto const expected = worker_revisions_.find(worker);
+        if (found == current.end() || expected == worker_revisions_.end() ||
+            found->second != expected->second)
+            removed_workers_.erase(worker);
+    }
     if (is_still_leader)
         return;
     log_event(log_level::warning, "record_conflict", {{"term", term_.value}});
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -419,6 +419,32 @@
     CHECK(fixture.kv.items().contains(worker_key(worker_id{"b"})));
 }
 
+// Each later leader waited for a worker that was gone, as a write that held its
+// removal and a job's progress had met a conflict.
+TEST_CASE("a worker's record is deleted although another record conflicts")
+{
+    writer_fixture fixture;
+    fixture.accept("j1");
+    fixture.writer->add_worker(worker_id{"a"});
+    auto const has = [&](char const* worker) {
+        return fixture.kv.items().contains(worker_key(worker_id{worker}));
+    };
+    REQUIRE(fixture.run_until([&] { return has("a"); }));
+    fixture.writer->add_worker(worker_id{"c"});
+    REQUIRE(fixture.run_until([&] { return has("c"); }));
+    // As a write does whose answer was lost.
+    fixture.kv.put(
+        progress_key(job_id{"j1"}),
+        fixture.kv.items().at(progress_key(job_id{"j1"})).value);
+    fixture.offered = {record_of("j1", job_phase::running)};
+    fixture.writer->remove_worker(worker_id{"a"});
+    REQUIRE(fixture.run_until([&] { return !fixture.returned.empty(); }));
+    fixture.offered = {record_of("j1", job_phase::running)};
+    fixture.writer->wake();
+    REQUIRE(fixture.run_until([&] { return !fixture.recorded.empty(); }));
+    CHECK_FALSE(has("a"));
+}
+
 TEST_CASE("a job that is submitted twice is stored once")
 {
     store_fixture fixture;
