Ignore answers of an earlier life of the worker

What callers saw: nothing yet.

Cause: a worker may start again under the name that it had, with its clock at zero. An answer to a start or stop of the life before that was read after the new life had announced itself, as after a freeze of the runner, set the clock to that of the life before. The leases of the new life were then too long by the difference, so that its runs could outlast what the scheduler allows for, and runs of an unreachable worker counted as lapsed too early.

Ruled out: lists, which name the start of the worker's life and were checked.

Change: the runner says which life it called, and an answer of another than the current one is ignored. Its runs were dropped when the new life was noticed.

Evidence: the new case of run_tracker_test failed with the comparison left out (90000 ms instead of 10 ms, twice) and passes with it.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -108,6 +108,14 @@
     has_updates_ = true;
 }
 
+// A worker that starts again under the same name begins its clock anew, which
+// an answer of the life before must not set.
+bool run_tracker::is_current(
+    std::optional<worker_incarnation> const& called) const
+{
+    return !called || *called == facts_.incarnation;
+}
+
 void run_tracker::update_clock(worker_time at, monotonic_time now)
 {
     if (clock_ && clock_at_least(now) >= at)
@@ -313,8 +321,11 @@
 }
 
 void run_tracker::on_start_result(
-    run_id const& run, call_outcome result, worker_time at, monotonic_time now)
+    run_id const& run, call_outcome result, worker_time at, monotonic_time now,
+    std::optional<worker_incarnation> const& called)
 {
+    if (!is_current(called))
+        return;
     if (at != worker_time::zero())
         update_clock(at, now);
     auto const found = runs_.find(run);
@@ -351,8 +362,11 @@
 }
 
 void run_tracker::on_stop_result(
-    run_id const& run, call_outcome result, worker_time at, monotonic_time now)
+    run_id const& run, call_outcome result, worker_time at, monotonic_time now,
+    std::optional<worker_incarnation> const& called)
 {
+    if (!is_current(called))
+        return;
     if (at != worker_time::zero())
         update_clock(at, now);
     auto const found = runs_.find(run);
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -229,14 +229,18 @@
 
     /// Processes the result of a start.
     /// \param at  the worker's clock in its answer; zero if unknown.
+    /// \param called  the incarnation that was called; none for the current.
     void on_start_result(
         run_id const& run, call_outcome result, worker_time at,
-        monotonic_time now);
+        monotonic_time now,
+        std::optional<worker_incarnation> const& called = std::nullopt);
     /// Processes the result of a stop.
     /// \param at  the worker's clock in its answer; zero if unknown.
+    /// \param called  the incarnation that was called; none for the current.
     void on_stop_result(
         run_id const& run, call_outcome result, worker_time at,
-        monotonic_time now);
+        monotonic_time now,
+        std::optional<worker_incarnation> const& called = std::nullopt);
     /// Processes the worker's answer to a poll.
     void on_listing(
         worker_listing const& listing, poll_call const& call,
@@ -262,6 +266,7 @@
     };
 
     void begin_incarnation(worker_facts const& facts);
+    bool is_current(std::optional<worker_incarnation> const& called) const;
     void update_clock(worker_time at, monotonic_time now);
     void apply_order(runner_order const& order);
     void record_refusal(run_id const& run, refusal_reason why);
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -151,14 +151,15 @@
 
 void runner_daemon::send_starts()
 {
+    auto const called = tracker_.facts().incarnation;
     for (auto const& call : tracker_.take_starts(event_loop::now())) {
         pacing_.apply_hints(call.order.hints);
         worker_.start(
-            tracker_.facts().incarnation, call,
-            [this, run = call.order.run, token = call.token,
+            called, call,
+            [this, called, run = call.order.run, token = call.token,
              deadline = call.deadline](platform::order_answer const& answer) {
                 tracker_.on_start_result(
-                    run, answer.result, answer.at, event_loop::now());
+                    run, answer.result, answer.at, event_loop::now(), called);
                 ++counts_.starts[answer.result];
                 bool const is_accepted =
                     answer.result == call_outcome::accepted;
@@ -181,13 +182,14 @@
 
 void runner_daemon::send_stops()
 {
+    auto const called = tracker_.facts().incarnation;
     for (auto const& call : tracker_.take_stops(event_loop::now())) {
         worker_.stop(
-            tracker_.facts().incarnation, call,
-            [this, run = call.run,
+            called, call,
+            [this, called, run = call.run,
              token = call.token](platform::order_answer const& answer) {
                 tracker_.on_stop_result(
-                    run, answer.result, answer.at, event_loop::now());
+                    run, answer.result, answer.at, event_loop::now(), called);
                 ++counts_.stops[answer.result];
                 log_event(
                     log_level::info, "stop_answered",
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -419,3 +419,21 @@
     f.list({f.listed()}, {});
     CHECK_FALSE(f.tracker.runs().at(run).is_found);
 }
+
+// A lease longer than the scheduler allows for, on the clock of another life.
+TEST_CASE("an answer of an earlier life under the same name sets no clock")
+{
+    fixture f;
+    f.join();
+    f.order_start();
+    REQUIRE(f.tracker.take_starts(f.now).size() == 1);
+    auto const earlier = f.facts.incarnation;
+    f.facts.incarnation.born = 5000ms;
+    f.tracker.on_announcement(f.facts, 10ms, f.now);
+    f.tracker.on_start_result(
+        run, call_outcome::accepted, 90'000ms, f.now, earlier);
+    CHECK(f.tracker.clock_at_least(f.now) == 10ms);
+    f.tracker.on_stop_result(
+        run, call_outcome::accepted, 90'000ms, f.now, earlier);
+    CHECK(f.tracker.clock_at_least(f.now) == 10ms);
+}
