--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -63,10 +63,12 @@
 }
 
 // All runs can be dropped: a worker drains for seconds before it leaves, so the
-// deadline of any delayed start has passed.
+// deadline of any delayed start has passed. A leave of a worker that doesn't
+// drain is a late one of an earlier life, which had the same name.
 bool run_tracker::on_leave(std::string const& instance)
 {
-    if (!has_worker_ || facts_.incarnation.instance != instance)
+    if (!has_worker_ || facts_.incarnation.instance != instance ||
+        !facts_.is_draining)
         return false;
     facts_.has_left = true;
     runs_.clear();
@@ -106,6 +108,14 @@
     has_updates_ = true;
 }
 
+// A worker that starts again under the same name begins its clock anew, which
+// an answer of the life before must not set.
+bool run_tracker::is_current(
+    std::optional<worker_incarnation> const& called) const
+{
+    return !called || *called == facts_.incarnation;
+}
+
 void run_tracker::update_clock(worker_time at, monotonic_time now)
 {
     if (clock_ && clock_at_least(now) >= at)
@@ -266,9 +276,11 @@
             (tracked.must_stop &&
              tracked.start_stage == tracked_run::stage::started) ||
             tracked.start_stage == tracked_run::stage::revoking;
-        if (!wanted || tracked.stop_confirmed ||
-            (tracked.stop_sent &&
-             now - *tracked.stop_sent < limits_.stop_retry))
+        // A confirmed stop is sent again if the run is still there long after:
+        // an earlier life of the worker may have confirmed it.
+        auto const pause = tracked.stop_confirmed ? limits_.confirmed_stop_retry
+                                                  : limits_.stop_retry;
+        if (!wanted || (tracked.stop_sent && now - *tracked.stop_sent < pause))
             continue;
         tracked.stop_sent = now;
         calls.push_back({run, token_});
@@ -309,8 +321,11 @@
 }
 
 void run_tracker::on_start_result(
-    run_id const& run, call_outcome result, worker_time at, monotonic_time now)
+    run_id const& run, call_outcome result, worker_time at, monotonic_time now,
+    std::optional<worker_incarnation> const& called)
 {
+    if (!is_current(called))
+        return;
     if (at != worker_time::zero())
         update_clock(at, now);
     auto const found = runs_.find(run);
@@ -347,8 +362,11 @@
 }
 
 void run_tracker::on_stop_result(
-    run_id const& run, call_outcome result, worker_time at, monotonic_time now)
+    run_id const& run, call_outcome result, worker_time at, monotonic_time now,
+    std::optional<worker_incarnation> const& called)
 {
+    if (!is_current(called))
+        return;
     if (at != worker_time::zero())
         update_clock(at, now);
     auto const found = runs_.find(run);
@@ -408,6 +426,7 @@
     auto& tracked = added.first->second;
     if (added.second) {
         tracked.order.run = listed.run;
+        tracked.is_found = true;
         has_updates_ = true;
     }
     if (tracked.start_stage != tracked_run::stage::started) {
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -34,6 +34,9 @@
     std::uint32_t max_start_attempts = 3;
     /// Pause before a stop without an answer is sent again.
     std::chrono::milliseconds stop_retry{300};
+    /// Pause before a confirmed stop of a run that is still there is sent
+    /// again; more than a stop takes.
+    std::chrono::milliseconds confirmed_stop_retry{1500};
     /// A worker that answers no poll for this long is unreachable. Its lease is
     /// no longer extended, so that its runs are known to be gone once the lease
     /// has lapsed.
@@ -144,6 +147,9 @@
     start_order order;
     /// True if the task's properties are known.
     bool is_known = false;
+    /// True if it was found on the worker's list instead of ordered here: an
+    /// earlier process of the runner may have changed its pace.
+    bool is_found = false;
     /// The number of starts that had no answer.
     std::uint32_t unanswered = 0;
     /// True if a stop was ordered.
@@ -172,7 +178,8 @@
     bool on_announcement(
         worker_facts const& facts, worker_time at, monotonic_time now);
     /// The worker has announced that it leaves.
-    /// \return false if that instance is not the current incarnation.
+    /// \return false if that instance is not the current incarnation, or isn't
+    /// draining.
     bool on_leave(std::string const& instance);
     /// True once the worker has announced itself.
     bool has_worker() const { return has_worker_; }
@@ -222,14 +229,18 @@
 
     /// Processes the result of a start.
     /// \param at  the worker's clock in its answer; zero if unknown.
+    /// \param called  the incarnation that was called; none for the current.
     void on_start_result(
         run_id const& run, call_outcome result, worker_time at,
-        monotonic_time now);
+        monotonic_time now,
+        std::optional<worker_incarnation> const& called = std::nullopt);
     /// Processes the result of a stop.
     /// \param at  the worker's clock in its answer; zero if unknown.
+    /// \param called  the incarnation that was called; none for the current.
     void on_stop_result(
         run_id const& run, call_outcome result, worker_time at,
-        monotonic_time now);
+        monotonic_time now,
+        std::optional<worker_incarnation> const& called = std::nullopt);
     /// Processes the worker's answer to a poll.
     void on_listing(
         worker_listing const& listing, poll_call const& call,
@@ -255,6 +266,7 @@
     };
 
     void begin_incarnation(worker_facts const& facts);
+    bool is_current(std::optional<worker_incarnation> const& called) const;
     void update_clock(worker_time at, monotonic_time now);
     void apply_order(runner_order const& order);
     void record_refusal(run_id const& run, refusal_reason why);
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -20,7 +20,26 @@
 {
     event_loop loop;
     memory_kv kv{loop};
-    kv_store store = kv.store();
+    kv_store store = failing_store();
+    /// The writes that fail without being carried out.
+    std::function<bool(kv_write const&)> fail_writes_of;
+
+    kv_store failing_store()
+    {
+        auto made = kv.store();
+        made.write = [this, write = made.write](
+                         kv_write const& what,
+                         kv_store::callback<kv_write_result> on_result) {
+            if (!fail_writes_of || !fail_writes_of(what)) {
+                write(what, std::move(on_result));
+                return;
+            }
+            loop.after(duration::zero(), [on_result = std::move(on_result)] {
+                on_result(error{"kv.write", "", "fails", outcome::not_run});
+            });
+        };
+        return made;
+    }
 
     void run_for(std::chrono::milliseconds span)
     {
@@ -291,6 +310,33 @@
     CHECK_FALSE(fixture.kv.items().contains(leader_claim_key));
 }
 
+// A leader too small for its load stayed, as its hand-over was lost.
+TEST_CASE("a small leader hands over although the store fails meanwhile")
+{
+    store_fixture fixture;
+    candidate small(fixture, 1, 100);
+    REQUIRE(fixture.run_until([&] { return small.election.is_leader(); }));
+    candidate large(fixture, 2, 500);
+    bool is_failing = true;
+    SECTION("at the claim")
+    {
+        fixture.fail_writes_of = [&](kv_write const& write) {
+            return !write.puts.empty() &&
+                   write.puts.front().key == leader_claim_key &&
+                   std::exchange(is_failing, false);
+        };
+    }
+    SECTION("at the hand-over")
+    {
+        fixture.fail_writes_of = [&](kv_write const& write) {
+            return write.removals.size() == 2 &&
+                   std::exchange(is_failing, false);
+        };
+    }
+    CHECK(fixture.run_until([&] { return large.election.is_leader(); }));
+    CHECK_FALSE(is_failing);
+}
+
 TEST_CASE("a process slightly larger than the leader doesn't replace it")
 {
     store_fixture fixture;
@@ -373,6 +419,32 @@
     CHECK(fixture.kv.items().contains(worker_key(worker_id{"b"})));
 }
 
+// Each later leader waited for a worker that was gone, as a write that held its
+// removal and a job's progress had met a conflict.
+TEST_CASE("a worker's record is deleted although another record conflicts")
+{
+    writer_fixture fixture;
+    fixture.accept("j1");
+    fixture.writer->add_worker(worker_id{"a"});
+    auto const has = [&](char const* worker) {
+        return fixture.kv.items().contains(worker_key(worker_id{worker}));
+    };
+    REQUIRE(fixture.run_until([&] { return has("a"); }));
+    fixture.writer->add_worker(worker_id{"c"});
+    REQUIRE(fixture.run_until([&] { return has("c"); }));
+    // As a write does whose answer was lost.
+    fixture.kv.put(
+        progress_key(job_id{"j1"}),
+        fixture.kv.items().at(progress_key(job_id{"j1"})).value);
+    fixture.offered = {record_of("j1", job_phase::running)};
+    fixture.writer->remove_worker(worker_id{"a"});
+    REQUIRE(fixture.run_until([&] { return !fixture.returned.empty(); }));
+    fixture.offered = {record_of("j1", job_phase::running)};
+    fixture.writer->wake();
+    REQUIRE(fixture.run_until([&] { return !fixture.recorded.empty(); }));
+    CHECK_FALSE(has("a"));
+}
+
 TEST_CASE("a job that is submitted twice is stored once")
 {
     store_fixture fixture;
