Log failed watches and listings of the store

The leader's log had no line between history_lost and the listing of job/ that followed 2 s later: prefix_watch tried again in silence.

No decision is changed.

--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -49,6 +49,7 @@
 void prefix_watch::apply_listing(result<kv_listing> const& listing)
 {
     if (!ok(listing)) {
+        log_repeated_error("listing_failed", failure(listing));
         retry([this] { list(); });
         return;
     }
@@ -79,6 +80,7 @@
 void prefix_watch::apply_changes(result<kv_changes> const& answer)
 {
     if (!ok(answer)) {
+        log_repeated_error("watch_failed", failure(answer));
         retry([this] { watch(); });
         return;
     }
