Read what has arrived before planning again

Cause: libevent reads a few KB of a connection in each turn of its loop. The leader planned in every turn: each report made a pass due at once, as a timer, and timers run in the turn in which they are due. With many tasks waiting a pass takes 15 to 45 ms on average, so the leader read a large answer of the store at the rate of its passes. A page of job/ or a large configuration took longer than the limit of its call, was thrown away half read, and was asked for again.

Ruled out: the link and the store (nine other schedulers had the same configuration in time, eight of them on smaller machines); calls that wait for a connection (no http.queue error); parsing and repeated callbacks (a turn made one pass, however many changes).

Change: event_loop::when_idle runs a callback when nothing else is ready, at the latest after a given time, and passes are run by it, at the latest after one tick. All that has arrived is read, and all reports are taken in, before the next pass; a pass is still made every 50 ms when input never ends. It holds for answers of any size and kind.

Not changed: the length of a pass, and the limit on the whole time of a call, which a page over a slow link can exceed.

--- a/src/common/event_loop.cpp
+++ b/src/common/event_loop.cpp
@@ -13,6 +13,12 @@
 
 namespace {
 
+// libevent runs the events of the lowest number that are ready, then looks for
+// new ones. Events that are given no priority, evhttp's among them, have the
+// middle one.
+constexpr int priorities = 3;
+constexpr int idle_priority = priorities - 1;
+
 timeval to_timeval(duration span)
 {
     constexpr std::int64_t microseconds_per_second = 1'000'000;
@@ -30,13 +36,17 @@
     event_loop* loop = nullptr;
     event_id id = 0;
     event* handle = nullptr;
+    /// The second of two events that run the callback; null for most.
+    event* other = nullptr;
     bool once = false;
     std::function<void()> call;
 
     ~registration()
     {
-        if (handle != nullptr)
-            event_free(handle);
+        for (auto* each : {handle, other}) {
+            if (each != nullptr)
+                event_free(each);
+        }
     }
 };
 
@@ -49,6 +59,8 @@
     base_ = event_base_new();
     if (base_ == nullptr)
         throw std::runtime_error("event_base_new failed");
+    if (event_base_priority_init(base_, priorities) != 0)
+        throw std::runtime_error("event_base_priority_init failed");
 }
 
 event_loop::~event_loop()
@@ -111,6 +123,17 @@
     return add(-1, 0, &delay, true, std::move(call));
 }
 
+event_id event_loop::when_idle(duration latest, std::function<void()> call)
+{
+    auto const id = after(latest, std::move(call));
+    auto* const entry = registrations_.at(id).get();
+    entry->other = event_new(base_, -1, 0, &event_loop::dispatch, entry);
+    event_priority_set(entry->other, idle_priority);
+    timeval const now = to_timeval(duration::zero());
+    event_add(entry->other, &now);
+    return id;
+}
+
 event_id event_loop::every(duration period, std::function<void()> call)
 {
     return add(-1, EV_PERSIST, &period, false, std::move(call));
--- a/src/common/event_loop.hpp
+++ b/src/common/event_loop.hpp
@@ -36,6 +36,10 @@
     event_id after(duration delay, std::function<void()> call);
     /// Runs the callback periodically.
     event_id every(duration period, std::function<void()> call);
+    /// Runs the callback once when nothing else is ready to run, at the latest
+    /// after the delay. For work that takes long and may be put off: run as a
+    /// timer, it would delay each of the small steps of a large message.
+    event_id when_idle(duration latest, std::function<void()> call);
     /// Runs the callback whenever the file descriptor is readable.
     event_id on_readable(int descriptor, std::function<void()> call);
     /// Runs the callback whenever the signal arrives.
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -256,8 +256,11 @@
     if (is_plan_due_)
         return;
     is_plan_due_ = true;
+    // A pass takes long while many tasks wait, and reports make the next one
+    // due at once. The answers of the store, which arrive in small pieces, go
+    // first: they tell which of the tasks were cancelled.
     std::weak_ptr<bool> const guard = alive_;
-    loop_.after(duration::zero(), [this, guard] {
+    loop_.when_idle(tick_period, [this, guard] {
         if (!guard.expired())
             plan();
     });
