Read a worker's odd answer as an error, not as an exception

What callers saw or could see: a runner that ends by itself and leaves its machine's runs to their leases, each time the worker's answer to an order carries a clock_ms of another type, or any refusal a reason that is no text.

Cause: the answer to an order was decoded in a callback without a handler for the decoder's exceptions, and so was the reason of any refusal. Besides, get() of the JSON library wraps integers and leaves a float out of range undefined, so a run number of 2^32 was read as 0 and 1e300 as an arbitrary value.

Ruled out: text that isn't JSON, deep nesting and numbers such as 1e400 were errors already; parse_json() limits the depth.

--- /dev/null
+++ b/tests/odd_entries_test.cpp
@@ -0,0 +1,118 @@
+/// Odd entries of other writers: nested too deeply, with numbers too large or
+/// out of range, or of another type. None may end a process or keep it from
+/// following the entries beside it.
+#include "common/http_client.hpp"
+#include "common/http_server.hpp"
+#include "libsycamorespar/graph_progress.hpp"
+#include "platform/worker_client.hpp"
+#include "records/graph_json.hpp"
+#include "runners/runner_codec.hpp"
+#include "spar-scheduler/caller_api.hpp"
+#include "spar-scheduler/runner_api.hpp"
+#include "standins/kv/memory_kv.hpp"
+#include "store/leader_election.hpp"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+using namespace sycamorespar;
+using namespace std::chrono_literals;
+using nlohmann::json;
+using standins::memory_kv;
+
+namespace {
+
+// Only ends a test that hangs; no check depends on it.
+constexpr std::chrono::seconds test_bound{20};
+
+/// Runs the loop until a condition holds.
+bool run_until(event_loop& loop, std::function<bool()> const& holds)
+{
+    auto const begin = event_loop::now();
+    while (!holds() && event_loop::now() - begin < test_bound) {
+        loop.after(5ms, [&loop] { loop.stop(); });
+        loop.run();
+    }
+    return holds();
+}
+
+/// A worker that gives the same answer to every call, and its client.
+struct odd_worker
+{
+    event_loop loop;
+    http_response response;
+    http_server server{loop, {}, [this](exchange_id id, http_request const&) {
+                           server.respond(id, response);
+                       }};
+    platform::worker_client client{loop, take(server.listen({"127.0.0.1", 0}))};
+
+    odd_worker(int status, std::string const& body) : response{status, {}, body}
+    {}
+
+    platform::order_answer stop()
+    {
+        std::optional<platform::order_answer> got;
+        client.stop(
+            {"i-1", 1ms}, {}, [&](auto const& answer) { got = answer; });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+
+    platform::poll_answer poll()
+    {
+        std::optional<platform::poll_answer> got;
+        client.poll(
+            {"i-1", 1ms}, {}, [&](auto const& answer) { got = answer; });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+};
+
+} // namespace
+
+// Processes that end by themselves: the runner, by an exception in a callback.
+TEST_CASE("a worker's odd answer to an order doesn't end the runner")
+{
+    for (auto const* clock :
+         {"\"late\"", "null", "[]", "1e300", "18446744073709551615"}) {
+        auto const body = std::string(R"({"clock_ms":)") + clock + "}";
+        auto const answer = odd_worker(200, body).stop();
+        CHECK(answer.result == call_outcome::accepted);
+        CHECK(answer.at == worker_time::zero());
+    }
+    for (auto const* reason : {"7", "null", "{}", "\"unknown\""}) {
+        auto const body = std::string(R"({"reason":)") + reason + "}";
+        CHECK(odd_worker(409, body).stop().result == call_outcome::rejected);
+    }
+}
+
+// Processes that end by themselves: the runner, by an exception in a callback.
+TEST_CASE("a worker's odd answer to a poll is a failed poll")
+{
+    for (auto const* reason : {"7", "null", "{}"}) {
+        auto const body = std::string(R"({"reason":)") + reason + "}";
+        auto const answer = odd_worker(409, body).poll();
+        CHECK(answer.result == call_outcome::rejected);
+        CHECK_FALSE(answer.listing);
+    }
+    std::string const task = "\"5c0e7a21d94b36f8.0.1.17\"";
+    for (auto const& body :
+         {R"({"born":1e300,"running":[],"ended_runs":[]})" + std::string(),
+          R"({"born":1.5,"running":[],"ended_runs":[]})" + std::string(),
+          R"({"clock_ms":1e300,"running":[],"ended_runs":[]})" + std::string(),
+          R"({"running":[[)" + task + R"(,-1,"",41]],"ended_runs":[]})",
+          R"({"running":[[)" + task + R"(,4294967296,"",41]],)" +
+              R"("ended_runs":[]})",
+          R"({"running":[[)" + task + R"(,1,"",1e300]],"ended_runs":[]})",
+          R"({"running":[[)" + task + R"(,1,"",41,1e300]],)" +
+              R"("ended_runs":[]})",
+          R"({"running":[],"ended_runs":[[-1,)" + task + R"(,1,"done",""]]})",
+          R"({"running":[],"ended_runs":[[1,)" + task +
+              R"(,1e300,"done",""]]})"}) {
+        INFO(body);
+        auto const answer = odd_worker(200, body).poll();
+        CHECK(answer.result == call_outcome::unknown);
+        CHECK_FALSE(answer.listing);
+    }
+}
