Limit the nesting of reports and replies

What callers saw or could see: a leader, or a runner, that ends by itself at one deeply nested message, and again at each further one.

Cause: the library's parser of MessagePack recurses for each level and has no limit; a report may have 4 MiB, which is millions of nested arrays.

Ruled out: JSON texts. That parser doesn't recurse, parse_json() limits the depth, and values are destroyed without recursion. The messages between entries and agents use another library, with limits.

Change: parse_msgpack() checks the depth before it builds a value.

Evidence: before, the test ended with SIGSEGV; after, both messages are errors that say which limit they exceed. The messages are parsed twice; what that costs was not measured.

--- a/src/common/json_text.cpp
+++ b/src/common/json_text.cpp
@@ -121,6 +121,58 @@
     std::string reason_;
 };
 
+/// Checks the nesting depth only, so that it costs little for each value.
+class depth_checker : public nlohmann::json_sax<json>
+{
+public:
+    explicit depth_checker(std::size_t max_depth) : max_depth_(max_depth) {}
+
+    /// Why the bytes were rejected.
+    std::string const& reason() const { return reason_; }
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, string_t const&) override { return true; }
+    bool string(string_t&) override { return true; }
+    bool binary(binary_t&) override { return true; }
+    bool key(string_t&) override { return true; }
+
+    bool start_object(std::size_t) override { return open(); }
+    bool end_object() override { return close(); }
+    bool start_array(std::size_t) override { return open(); }
+    bool end_array() override { return close(); }
+
+    bool parse_error(
+        std::size_t, std::string const&,
+        nlohmann::detail::exception const& what) override
+    {
+        reason_ = what.what();
+        return false;
+    }
+
+private:
+    bool open()
+    {
+        if (++depth_ <= max_depth_)
+            return true;
+        reason_ =
+            "nested deeper than " + std::to_string(max_depth_) + " levels";
+        return false;
+    }
+
+    bool close()
+    {
+        --depth_;
+        return true;
+    }
+
+    std::size_t max_depth_;
+    std::size_t depth_ = 0;
+    std::string reason_;
+};
+
 /// Formats valijson's context, "<root>" "[name]" "[2]", as "name[2]".
 std::string path_of(std::vector<std::string> const& context)
 {
@@ -166,6 +218,17 @@
     return json::parse(text, nullptr, false);
 }
 
+// The library's parser of MessagePack recurses for each level, so the depth is
+// limited before a value is built.
+result<nlohmann::json>
+parse_msgpack(std::string_view bytes, std::size_t max_depth)
+{
+    depth_checker checker(max_depth);
+    if (!json::sax_parse(bytes, &checker, json::input_format_t::msgpack))
+        return error{"msgpack.parse", "", checker.reason()};
+    return json::from_msgpack(bytes, true, false);
+}
+
 result<done>
 validate_json(nlohmann::json const& document, std::string_view schema_text)
 {
--- a/src/common/json_text.hpp
+++ b/src/common/json_text.hpp
@@ -27,6 +27,12 @@
 result<nlohmann::json>
 parse_json(std::string_view text, json_limits const& limits = {});
 
+/// Parses MessagePack with at most `max_depth` levels of nested objects and
+/// arrays.
+/// \return the value; or an error of step "msgpack.parse".
+result<nlohmann::json>
+parse_msgpack(std::string_view bytes, std::size_t max_depth);
+
 /// Checks a value against a JSON Schema.
 /// \return done; or an error of step "json.validate" whose reason starts with
 /// the path of the offending key, as in "upstreams[2].port: ...".
--- a/src/runners/runner_codec.cpp
+++ b/src/runners/runner_codec.cpp
@@ -2,6 +2,8 @@
 /// of the same build, and each runner sends several reports per second.
 #include "runners/runner_codec.hpp"
 
+#include "common/json_text.hpp"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -12,6 +14,9 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+/// A report and a reply nest four levels; later builds may nest a few more.
+constexpr std::size_t max_depth = 12;
+
 json write_run(run_id const& run)
 {
     return json::array({to_string(run.task), run.number});
@@ -165,8 +170,11 @@
 template<class T, class Reader>
 result<T> unpack(char const* step, std::string const& bytes, Reader read)
 {
+    auto const parsed = parse_msgpack(bytes, max_depth);
+    if (!ok(parsed))
+        return error{step, "", failure(parsed).reason};
     try {
-        return read(json::from_msgpack(bytes));
+        return read(value(parsed));
     } catch (std::exception const& fault) {
         return error{step, "", fault.what()};
     }
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -13,6 +13,7 @@
 #include "store/leader_election.hpp"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -116,3 +117,14 @@
         CHECK_FALSE(answer.listing);
     }
 }
+
+// Processes that end by themselves: the leader and the runners, by a stack
+// overflow.
+TEST_CASE("a deeply nested report or reply is an error")
+{
+    constexpr std::size_t levels = 1'000'000;
+    constexpr char array_of_one = '\x91';
+    auto const nested = std::string(levels, array_of_one) + '\xc0';
+    CHECK_FALSE(ok(read_report(nested)));
+    CHECK_FALSE(ok(read_reply(nested)));
+}
