Refuse numbers out of range in reports and replies

What callers saw or could see: none was seen. A run number of 2^32 was read as run 0, an end of kind 2^32 as one that finished, a sequence of -1 as the highest of all, after which a runner's later reports look old.

Cause: get() of the JSON library wraps integers, and converts a float out of range or NaN without a defined result.

Change: the numbers are read with the range checks of json_number.hpp; the error names the place of the number in its array.

--- a/src/common/json_number.hpp
+++ b/src/common/json_number.hpp
@@ -98,6 +98,14 @@
         read_number<std::int64_t>(from, name, {0, max_json_time.count()}));
 }
 
+/// As read_time(), but a fraction of a millisecond is an error.
+inline std::chrono::milliseconds
+read_whole_time(nlohmann::json const& from, std::string const& name)
+{
+    return std::chrono::milliseconds(
+        read_whole<std::int64_t>(from, name, {0, max_json_time.count()}));
+}
+
 /// Reads a member of an object with read_time(); zero if it is absent.
 inline std::chrono::milliseconds
 read_time_or_zero(nlohmann::json const& object, char const* name)
--- a/src/runners/runner_codec.cpp
+++ b/src/runners/runner_codec.cpp
@@ -2,6 +2,7 @@
 /// of the same build, and each runner sends several reports per second.
 #include "runners/runner_codec.hpp"
 
+#include "common/json_number.hpp"
 #include "common/json_text.hpp"
 
 #include <nlohmann/json.hpp>
@@ -27,7 +28,7 @@
     auto const task = parse_task(from.at(0).get<std::string>());
     if (!task)
         throw std::invalid_argument("malformed task id");
-    return {*task, from.at(1).get<std::uint32_t>()};
+    return {*task, read_whole<std::uint32_t>(from.at(1), "member 1")};
 }
 
 json write_incarnation(worker_incarnation const& incarnation)
@@ -38,8 +39,7 @@
 worker_incarnation read_incarnation(json const& from)
 {
     return {
-        from.at(0).get<std::string>(),
-        milliseconds(from.at(1).get<std::int64_t>())};
+        from.at(0).get<std::string>(), read_whole_time(from.at(1), "member 1")};
 }
 
 json write_facts(worker_facts const& facts)
@@ -58,11 +58,12 @@
     facts.pool.value = from.at(1).get<std::string>();
     facts.domain.value = from.at(2).get<std::string>();
     facts.capacity = {
-        from.at(3).get<std::int64_t>(), from.at(4).get<std::int64_t>(),
-        from.at(5).get<std::int64_t>()};
+        read_whole<std::int64_t>(from.at(3), "member 3"),
+        read_whole<std::int64_t>(from.at(4), "member 4"),
+        read_whole<std::int64_t>(from.at(5), "member 5")};
     facts.labels = from.at(6).get<std::vector<std::string>>();
     facts.is_draining = from.at(7).get<bool>();
-    facts.drain_remaining = milliseconds(from.at(8).get<std::int64_t>());
+    facts.drain_remaining = read_whole_time(from.at(8), "member 8");
     facts.has_left = from.at(9).get<bool>();
     return facts;
 }
@@ -77,9 +78,9 @@
 task_facts read_task_facts(json const& from)
 {
     return {
-        from.at(0).get<bool>(), from.at(1).get<std::int64_t>(),
-        milliseconds(from.at(2).get<std::int64_t>()),
-        from.at(3).get<std::string>()};
+        from.at(0).get<bool>(),
+        read_whole<std::int64_t>(from.at(1), "member 1"),
+        read_whole_time(from.at(2), "member 2"), from.at(3).get<std::string>()};
 }
 
 json write_hints(std::vector<contention_hint> const& hints)
@@ -106,10 +107,8 @@
 template<class Enum>
 Enum read_enum(json const& from, Enum last)
 {
-    auto const number = from.get<unsigned>();
-    if (number > static_cast<unsigned>(last))
-        throw std::invalid_argument("enum value out of range");
-    return static_cast<Enum>(number);
+    return static_cast<Enum>(
+        read_whole<unsigned>(from, "enum", {0, static_cast<unsigned>(last)}));
 }
 
 constexpr int start_kind = 0;
@@ -133,9 +132,9 @@
 
 runner_order read_order(json const& from)
 {
-    auto const number = from.at(1).get<std::uint64_t>();
+    auto const number = read_whole<std::uint64_t>(from.at(1), "member 1");
     auto const run = read_run(from.at(2));
-    switch (from.at(0).get<int>()) {
+    switch (read_whole<int>(from.at(0), "kind")) {
     case start_kind:
         return start_order{
             number,
@@ -211,25 +210,26 @@
     return unpack<runner_report>("runner.report", bytes, [](json const& from) {
         runner_report report;
         report.worker.value = from.at(0).get<std::string>();
-        report.runner.value = from.at(1).get<std::uint64_t>();
-        report.sequence = from.at(2).get<std::uint64_t>();
+        report.runner.value = read_whole<std::uint64_t>(from.at(1), "member 1");
+        report.sequence = read_whole<std::uint64_t>(from.at(2), "member 2");
         report.facts = read_facts(from.at(3));
-        report.term.value = from.at(4).get<std::uint64_t>();
-        report.token = from.at(5).get<std::uint64_t>();
+        report.term.value = read_whole<std::uint64_t>(from.at(4), "member 4");
+        report.token = read_whole<std::uint64_t>(from.at(5), "member 5");
         report.is_listed = from.at(6).get<bool>();
         report.is_reachable = from.at(7).get<bool>();
-        report.last_order = from.at(8).get<std::uint64_t>();
+        report.last_order = read_whole<std::uint64_t>(from.at(8), "member 8");
         for (auto const& each : from.at(9))
             report.runs.push_back(
                 {read_run(each.at(0)), each.at(1).get<bool>(),
                  each.at(2).get<bool>(), each.at(3).get<std::string>(),
-                 each.at(4).get<std::uint32_t>(),
-                 each.at(5).get<std::int64_t>(),
-                 each.at(6).get<std::uint32_t>(), read_is_stopping(each)});
+                 read_whole<std::uint32_t>(each.at(4), "member 4"),
+                 read_whole<std::int64_t>(each.at(5), "member 5"),
+                 read_whole<std::uint32_t>(each.at(6), "member 6"),
+                 read_is_stopping(each)});
         for (auto const& each : from.at(10))
             report.ends.push_back(
-                {each.at(0).get<std::uint64_t>(), read_run(each.at(1)),
-                 read_enum(each.at(2), run_end::refused),
+                {read_whole<std::uint64_t>(each.at(0), "member 0"),
+                 read_run(each.at(1)), read_enum(each.at(2), run_end::refused),
                  each.at(3).get<std::string>()});
         for (auto const& each : from.at(11))
             report.refusals.push_back(
@@ -254,11 +254,11 @@
 {
     return unpack<runner_reply>("runner.reply", bytes, [](json const& from) {
         runner_reply reply;
-        reply.term.value = from.at(0).get<std::uint64_t>();
-        reply.token = from.at(1).get<std::uint64_t>();
+        reply.term.value = read_whole<std::uint64_t>(from.at(0), "member 0");
+        reply.token = read_whole<std::uint64_t>(from.at(1), "member 1");
         reply.extends = from.at(2).get<bool>();
         reply.incarnation = read_incarnation(from.at(3));
-        reply.ended_through = from.at(4).get<std::uint64_t>();
+        reply.ended_through = read_whole<std::uint64_t>(from.at(4), "member 4");
         for (auto const& each : from.at(5))
             reply.orders.push_back(read_order(each));
         return reply;
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -128,3 +128,42 @@
     CHECK_FALSE(ok(read_report(nested)));
     CHECK_FALSE(ok(read_reply(nested)));
 }
+
+// Silently wrong values: integers that wrapped, floats out of range.
+TEST_CASE("a number out of range in a report or reply is an error")
+{
+    run_id const run{{job_id{"5c0e7a21d94b36f8"}, 0, 1, 17}, 2};
+    runner_report report;
+    report.runs = {{run, true, true, "", 40, 12, 55, false}};
+    report.ends = {{7, run, run_end::broken, ""}};
+    runner_reply reply;
+    reply.orders = {stop_order{2, run}};
+    auto const with = [](std::string const& packed, char const* pointer,
+                         json const& number) {
+        auto message = json::from_msgpack(packed);
+        message.at(json::json_pointer(pointer)) = number;
+        auto const bytes = json::to_msgpack(message);
+        return std::string(bytes.begin(), bytes.end());
+    };
+    auto const nan = std::numeric_limits<double>::quiet_NaN();
+    for (auto const* pointer :
+         {"/1", "/2", "/3/0/1", "/3/8", "/4", "/5", "/8", "/9/0/0/1", "/9/0/4",
+          "/9/0/6", "/10/0/0", "/10/0/2"}) {
+        REQUIRE(ok(read_report(with(write_report(report), pointer, 1))));
+        for (json const& number :
+             {json(-1), json(1.5), json(1e300), json(nan), json("1")}) {
+            INFO(pointer << " " << number);
+            CHECK_FALSE(
+                ok(read_report(with(write_report(report), pointer, number))));
+        }
+    }
+    for (auto const* pointer : {"/9/0/0/1", "/9/0/4", "/9/0/6", "/10/0/2"})
+        CHECK_FALSE(ok(
+            read_report(with(write_report(report), pointer, 4'294'967'296))));
+    for (auto const* pointer : {"/0", "/1", "/4", "/5/0/0", "/5/0/1"}) {
+        REQUIRE(ok(read_reply(with(write_reply(reply), pointer, 1))));
+        for (json const& number : {json(-1), json(1.5), json(1e300), json(nan)})
+            CHECK_FALSE(
+                ok(read_reply(with(write_reply(reply), pointer, number))));
+    }
+}
