Record a checkpoint that isn't UTF-8

What callers saw or could see: a leader that ends by itself as it records a job's progress, and, as the runner reports the same end to each successor, one leader after the other.

Cause: MessagePack texts may hold any bytes, and write_progress() throws for invalid UTF-8, in a callback of the loop.

Ruled out: workers can't cause it; their answers are JSON, whose parser refuses invalid UTF-8. It takes an odd report.

Change: such bytes become replacement characters, as in a job's payload.

Evidence: before, the test failed with json.exception.type_error.316; after, it passes.

--- a/src/records/graph_json.cpp
+++ b/src/records/graph_json.cpp
@@ -144,7 +144,8 @@
         {"phase", to_string(progress.phase)},
         {"first_open", progress.first_open},
         {"tasks", std::move(tasks)}};
-    return out.dump();
+    // As for a job: the checkpoint comes from a worker.
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 result<graph_snapshot> read_progress(std::string const& text)
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -167,3 +167,12 @@
                 ok(read_reply(with(write_reply(reply), pointer, number))));
     }
 }
+
+// Processes that end by themselves: the leader, as it records a report.
+TEST_CASE("a checkpoint that isn't UTF-8 is recorded with replacements")
+{
+    graph_snapshot progress;
+    progress.phase = job_phase::running;
+    progress.tasks = {{0, 0, 0, false, 1, {}, "\xff\xfe"}};
+    CHECK(ok(read_progress(write_progress(progress))));
+}
