Refuse a caller where the leader's count is odd

What callers saw or could see: a scheduler that isn't the leader ends by itself when the leader's answer to a request for the pending jobs isn't a number, and again at each further request.

Cause: std::stoul on the answer's text, which throws in a callback of the loop; the text was kept and parsed again for later requests.

Change: the answer is parsed once, whole, and the count is kept. An odd answer is none, so the caller gets 503 as without a leader.

--- a/src/spar-scheduler/caller_api.cpp
+++ b/src/spar-scheduler/caller_api.cpp
@@ -7,6 +7,8 @@
 #include "platform/job_body.hpp"
 #include "spar-scheduler/runner_api.hpp"
 
+#include <charconv>
+#include <system_error>
 #include <utility>
 
 namespace sycamorespar {
@@ -36,6 +38,20 @@
     return limits;
 }
 
+/// Parses a leader's answer; none if it isn't exactly one count.
+std::optional<std::size_t> read_count(result<http_response> const& answer)
+{
+    if (!ok(answer) || value(answer).status != status_ok)
+        return std::nullopt;
+    auto const& text = value(answer).body;
+    char const* const end = text.data() + text.size();
+    std::size_t count = 0;
+    auto const read = std::from_chars(text.data(), end, count);
+    if (read.ec != std::errc{} || read.ptr != end)
+        return std::nullopt;
+    return count;
+}
+
 } // namespace
 
 caller_api::caller_api(
@@ -259,8 +275,7 @@
     if (known != pending_.end() &&
         event_loop::now() - known->second.read_at < limits_.max_pending_age) {
         server_.respond(
-            exchange,
-            platform::pending_answer(std::stoul(known->second.answer)));
+            exchange, platform::pending_answer(known->second.count));
         return;
     }
     auto const leader = callbacks_.leader();
@@ -275,16 +290,13 @@
              {},
              {}},
             [this, exchange, queue](result<http_response> const& answer) {
-                bool const is_answered =
-                    ok(answer) && value(answer).status == status_ok;
-                if (!is_answered) {
+                auto const count = read_count(answer);
+                if (!count) {
                     refuse(exchange, no_leader);
                     return;
                 }
-                pending_[queue] = {value(answer).body, event_loop::now()};
-                server_.respond(
-                    exchange,
-                    platform::pending_answer(std::stoul(value(answer).body)));
+                pending_[queue] = {*count, event_loop::now()};
+                server_.respond(exchange, platform::pending_answer(*count));
             });
 }
 
--- a/src/spar-scheduler/caller_api.hpp
+++ b/src/spar-scheduler/caller_api.hpp
@@ -13,6 +13,7 @@
 #include "store/leader_election.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -82,7 +83,7 @@
 private:
     struct pending_count
     {
-        std::string answer;
+        std::size_t count = 0;
         monotonic_time read_at{};
     };
 
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -176,3 +176,47 @@
     progress.tasks = {{0, 0, 0, false, 1, {}, "\xff\xfe"}};
     CHECK(ok(read_progress(write_progress(progress))));
 }
+
+// Processes that end by themselves: a scheduler, by an exception in a callback.
+TEST_CASE("a leader's odd count of pending jobs is no answer")
+{
+    for (auto const* count :
+         {"", "many", "-1", "7x", "1e3", "99999999999999999999999999"}) {
+        INFO(count);
+        event_loop loop;
+        memory_kv kv(loop);
+        auto const store = kv.store();
+        kv.put(
+            "op/config",
+            R"({"version":1,"routes":[{"name":"q","host":"127.0.0.1",
+            "prefix":"/p/","service":"s"}]})");
+        http_server leader(
+            loop, {}, [&leader, count](exchange_id id, http_request const&) {
+                leader.respond(id, {200, {}, count});
+            });
+        auto const where = take(leader.listen({"127.0.0.1", 0}));
+        configuration_follower const configuration(loop, store, [] {});
+        caller_api api(
+            loop, store, configuration,
+            {[]() -> scheduling_term* { return nullptr; },
+             [where] {
+                 return std::optional<leader_info>(
+                     {scheduler_term{1}, incarnation{1}, where, 0});
+             },
+             [] {
+                 return false;
+             }});
+        http_client caller(
+            loop, take(api.listen({"127.0.0.1", 0})), http_client_limits{});
+        REQUIRE(run_until(loop, [&] { return configuration.is_known(); }));
+        // The second request would find the count of the first one.
+        for (int request = 0; request < 2; ++request) {
+            std::optional<int> status;
+            caller.call({"GET", "/p/", {}, {}}, [&](auto const& answer) {
+                status = ok(answer) ? value(answer).status : 0;
+            });
+            REQUIRE(run_until(loop, [&] { return status.has_value(); }));
+            CHECK(*status == 503);
+        }
+    }
+}
