Ignore progress beyond a job's occurrences

What callers saw or could see: each leader in turn ends by itself, out of memory, as it reads a progress record that names occurrence 4,000,000,000 of a job that has one.

Cause: restore() creates every occurrence up to the last one that the record names.

Ruled out: tasks and steps out of range; they were ignored already.

Change: occurrences that the job doesn't have are ignored, as are tasks that it doesn't have.

Evidence: before, the test failed with std::bad_alloc under a memory limit of 2 GB; after, it passes.

--- a/src/libsycamorespar/graph_progress.cpp
+++ b/src/libsycamorespar/graph_progress.cpp
@@ -81,12 +81,17 @@
 {
     is_restored_ = true;
     phase_ = recorded.phase;
-    first_open_ = recorded.first_open;
+    // A record of another writer may name occurrences that the job doesn't
+    // have; every occurrence up to the last one named takes memory.
+    auto const occurrences = std::max(graph_.schedule.count, 1U);
+    first_open_ = std::min(recorded.first_open, occurrences);
     occurrences_.clear();
     next_occurrence_ =
-        std::max(recorded.first_open, graph_.schedule.count == 0 ? 1U : 0U);
-    for (auto const& each : recorded.tasks)
-        next_occurrence_ = std::max(next_occurrence_, each.occurrence + 1);
+        std::max(first_open_, graph_.schedule.count == 0 ? 1U : 0U);
+    for (auto const& each : recorded.tasks) {
+        if (each.occurrence < occurrences)
+            next_occurrence_ = std::max(next_occurrence_, each.occurrence + 1);
+    }
     for (auto each = first_open_; each < next_occurrence_; ++each)
         occurrences_.emplace(each, new_occurrence());
     for (auto const& each : recorded.tasks) {
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -220,3 +220,24 @@
         }
     }
 }
+
+// Processes that end by themselves: each leader in turn, out of memory.
+TEST_CASE("progress beyond a job's occurrences is not restored")
+{
+    job_graph graph;
+    graph.id = job_id{"5c0e7a21d94b36f8"};
+    graph.steps.resize(1);
+    for (std::uint32_t const count : {0U, 3U}) {
+        graph.schedule.count = count;
+        graph_progress progress(graph, 1);
+        graph_snapshot odd;
+        odd.phase = job_phase::running;
+        odd.tasks = {{4'000'000'000, 0, 0, false, 1, {}, ""}};
+        progress.restore(odd);
+        CHECK(progress.snapshot().tasks.empty());
+        odd.first_open = 4'294'967'295;
+        odd.tasks = {{4'294'967'295, 0, 0, false, 1, {}, ""}};
+        progress.restore(odd);
+        CHECK(progress.snapshot().tasks.empty());
+    }
+}
