Replace a leader's entry that can't be read

What callers saw or could see: with an odd entry at the leader's key nobody leads, until somebody removes it: no run is started or stopped, and each scheduler asks for a lease twenty times a second. An entry with port 65,537 or 99,999 was followed, at port 1 or 34,463.

Cause: an unreadable entry was treated as no entry, so that each takeover was written on the condition that the key is absent, and failed. The port, the process and the capacity were read with get(), which wraps.

Ruled out: a loop or an exception in the parser; deep nesting and bytes that can't be read gave no leader. Runners keep the scheduler that they follow while it answers.

Change: the takeover is conditional on the revision of the unreadable entry, which is logged. The entry's numbers are range-checked; port 0 names no leader. A leader whose entry is overwritten loses its term as before, and leads again in a new one.

Evidence: before, no scheduler led within the test's 20 s, and 13 of the 22 checks of numbers failed; after, both tests and store_parts_test pass. Open: a readable entry of another writer, without a lease, still stands.

--- a/src/store/leader_election.cpp
+++ b/src/store/leader_election.cpp
@@ -4,6 +4,7 @@
 /// that keeps running while the instance is suspended.
 #include "store/leader_election.hpp"
 
+#include "common/json_number.hpp"
 #include "common/json_text.hpp"
 #include "common/log.hpp"
 
@@ -29,6 +30,11 @@
     return out.dump();
 }
 
+std::int64_t read_capacity(json const& from)
+{
+    return read_whole<std::int64_t>(from, "capacity", {0, INT64_MAX});
+}
+
 std::optional<leadership_claim> read_claim(kv_item const& item)
 {
     auto const parsed = parse_json(item.value);
@@ -37,9 +43,9 @@
     try {
         auto const& from = value(parsed);
         return leadership_claim{
-            scheduler_term{from.at("from").get<std::uint64_t>()},
-            from.at("capacity").get<std::int64_t>()};
-    } catch (json::exception const&) {
+            scheduler_term{read_whole<std::uint64_t>(from.at("from"), "from")},
+            read_capacity(from.at("capacity"))};
+    } catch (std::exception const&) {
         return std::nullopt;
     }
 }
@@ -65,11 +71,13 @@
         auto const& from = value(parsed);
         return leader_info{
             scheduler_term{item.revision},
-            incarnation{from.at("process").get<std::uint64_t>()},
+            incarnation{
+                read_whole<std::uint64_t>(from.at("process"), "process")},
             {from.at("address").get<std::string>(),
-             from.at("port").get<std::uint16_t>()},
-            from.value("capacity", std::int64_t{0})};
-    } catch (json::exception const&) {
+             read_whole<std::uint16_t>(
+                 from.at("port"), "port", {1, UINT16_MAX})},
+            from.contains("capacity") ? read_capacity(from["capacity"]) : 0};
+    } catch (std::exception const&) {
         return std::nullopt;
     }
 }
@@ -101,12 +109,26 @@
            event_loop::time_since_boot() - renewed_at_ < limits_.authority;
 }
 
+// An entry that names no leader, written by somebody else, is replaced: else
+// nobody could lead until it is removed.
+std::optional<leader_info> leader_election::read_entry(kv_item const& item)
+{
+    auto read = read_leader(item);
+    unreadable_revision_ = read ? 0 : item.revision;
+    if (!read)
+        log_event(
+            log_level::error, "office_unreadable",
+            {{"key", item.key}, {"revision", item.revision}});
+    return read;
+}
+
 void leader_election::apply_listing(std::vector<kv_item> const& items)
 {
+    unreadable_revision_ = 0;
     std::optional<leader_info> found;
     for (auto const& item : items) {
         if (item.key == leader_key)
-            found = read_leader(item);
+            found = read_entry(item);
     }
     set_leader(found);
     for (auto const& item : items)
@@ -122,7 +144,9 @@
     // Ignores a change that is older than the known term.
     if (leader_ && change.item.revision < leader_->term.value)
         return;
-    set_leader(change.is_removal ? std::nullopt : read_leader(change.item));
+    if (change.is_removal)
+        unreadable_revision_ = 0;
+    set_leader(change.is_removal ? std::nullopt : read_entry(change.item));
 }
 
 void leader_election::set_leader(std::optional<leader_info> leader)
@@ -264,7 +288,7 @@
         return;
     }
     kv_write const write{
-        {{leader_key, leader_ ? leader_->term.value : 0}},
+        {{leader_key, leader_ ? leader_->term.value : unreadable_revision_}},
         {{leader_key, write_leader(self_), lease.id}},
         {}};
     std::weak_ptr<bool> const guard = alive_;
--- a/src/store/leader_election.hpp
+++ b/src/store/leader_election.hpp
@@ -109,6 +109,7 @@
 private:
     void apply_listing(std::vector<kv_item> const& items);
     void apply_change(kv_change const& change);
+    std::optional<leader_info> read_entry(kv_item const& item);
     void process_claim(kv_item const& item);
     void set_leader(std::optional<leader_info> leader);
     bool is_earlier_incarnation(leader_info const& leader) const;
@@ -130,6 +131,8 @@
     observer callbacks_;
     leader_election_limits limits_;
     std::optional<leader_info> leader_;
+    /// The revision of an entry that names no leader; zero where there is none.
+    kv_revision unreadable_revision_ = 0;
     bool is_leader_ = false;
     bool is_acquiring_ = false;
     bool has_resigned_ = false;
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -241,3 +241,51 @@
         CHECK(progress.snapshot().tasks.empty());
     }
 }
+
+// Processes that no longer follow: no scheduler leads until somebody removes
+// the entry, and each asks for a lease twenty times a second.
+TEST_CASE("a leader's key that can't be read is replaced")
+{
+    for (auto const& odd :
+         {std::string("\xff\xfe"), std::string(100'000, '['), std::string(),
+          std::string(R"({"process":1,"address":"127.0.0.1","port":99999})")}) {
+        event_loop loop;
+        memory_kv kv(loop);
+        auto const store = kv.store();
+        kv.put(leader_key, odd);
+        std::uint64_t gained = 0;
+        leader_election const only(
+            loop, store, {incarnation{1}, {"127.0.0.1", 1}, 0},
+            {[&](scheduler_term term) { gained = term.value; },
+             [] {
+             }});
+        CHECK(run_until(loop, [&] { return only.is_leader(); }));
+        kv.put(leader_key, odd);
+        auto const overwritten = kv.revision();
+        CHECK(run_until(loop, [&] { return gained > overwritten; }));
+        CHECK(only.is_leader());
+    }
+}
+
+// Silently wrong values: port 65,537 was followed as port 1.
+TEST_CASE("a leader's entry with a number out of range names no leader")
+{
+    auto const read = [](char const* process, char const* port,
+                         char const* capacity) {
+        return read_leader(
+            {leader_key,
+             std::string(R"({"address":"127.0.0.1","process":)") + process +
+                 R"(,"port":)" + port + R"(,"capacity":)" + capacity + "}",
+             7, 7});
+    };
+    CHECK(read("1", "1", "0"));
+    CHECK(read("18446744073709551615", "65535", "250"));
+    for (auto const* port :
+         {"0", "65536", "65537", "99999", "-1", "1.5", "1e300", "\"80a\""})
+        CHECK_FALSE(read("1", port, "0"));
+    for (auto const* number :
+         {"-1", "1.5", "1e300", "1e400", "null", "\"1\""}) {
+        CHECK_FALSE(read(number, "1", "0"));
+        CHECK_FALSE(read("1", "1", number));
+    }
+}
