Skip a job's record of a term later than itself

What callers saw or could see: one job's record with a term too large makes each leader in turn give up its term as it reads the jobs, so that nobody places work until somebody removes the record.

Cause: a job of a later term means that another process leads; the number was believed whoever wrote it.

Change: a term is the revision of an earlier write, so a record whose own revision is lower than its term is another writer's; it is logged and skipped.

Evidence: before, the test's term was given up; after, the odd job is skipped and the one beside it is taken. Terms of own jobs can't exceed the revision: the term is known before the job is written.

--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -209,6 +209,14 @@
         log_error("job_unreadable", failure(job));
         return;
     }
+    // A term is the revision of an earlier write, so that only a record of
+    // another writer names a later one.
+    if (value(job).accepted_in.value > item.revision) {
+        log_error(
+            "job_unreadable",
+            {"record.job", item.key, "the term is later than the record"});
+        return;
+    }
     on_stored(value(job), item.revision);
 }
 
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -6,6 +6,7 @@
 #include "libsycamorespar/graph_progress.hpp"
 #include "platform/worker_client.hpp"
 #include "records/graph_json.hpp"
+#include "records/record_keys.hpp"
 #include "runners/runner_codec.hpp"
 #include "spar-scheduler/caller_api.hpp"
 #include "spar-scheduler/runner_api.hpp"
@@ -289,3 +290,34 @@
         CHECK_FALSE(read("1", "1", number));
     }
 }
+
+// Processes that no longer follow: each leader in turn gave up its term.
+TEST_CASE("a job of a term later than its record doesn't end the leader's term")
+{
+    event_loop loop;
+    memory_kv kv(loop);
+    auto const store = kv.store();
+    accepted_job job;
+    job.graph.id = job_id{"5c0e7a21d94b36f8"};
+    job.graph.queue = queue_id{"q"};
+    job.graph.steps.resize(1);
+    job.accepted_in = scheduler_term{1'000'000'000'000};
+    kv.put(job_key(job.graph.id), write_job(job));
+    job.graph.id = job_id{"5c0e7a21d94b36f9"};
+    job.accepted_in = scheduler_term{1};
+    kv.put(job_key(job.graph.id), write_job(job));
+    bool is_lost = false;
+    scheduling_term const term(
+        loop, store, scheduler_term{kv.revision()}, {}, {},
+        {[] {},
+         [&] {
+             is_lost = true;
+         }});
+    CHECK(run_until(loop, [&] {
+        return is_lost ||
+               (term.scheduler() != nullptr &&
+                term.scheduler()->phase_of(job_id{"5c0e7a21d94b36f9"}));
+    }));
+    CHECK_FALSE(is_lost);
+    CHECK_FALSE(term.scheduler()->phase_of(job_id{"5c0e7a21d94b36f8"}));
+}
