Follow a list although one item in it is odd

What callers saw or could see: a process that no longer follows a prefix of the store, as one item of a list, or one event of a watch, could not be decoded: the whole answer failed, and so did every further try. A leader so placed reads no records and schedules nothing.

Cause: read_items() and the watch gave up at the first odd item. Revisions were read with get(), which wraps.

Ruled out: values that only the callers decode; those are handled key by key.

Change: an item that names no key at a revision is logged and left out. One whose value can't be read has its key and an empty value, so that the callers still decide for that key; a single get remains an error.

--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -4,6 +4,7 @@
 #include "common/http_client.hpp"
 #include "common/http_server.hpp"
 #include "libsycamorespar/graph_progress.hpp"
+#include "platform/kv_client.hpp"
 #include "platform/worker_client.hpp"
 #include "records/graph_json.hpp"
 #include "records/record_keys.hpp"
@@ -321,3 +322,88 @@
     CHECK_FALSE(is_lost);
     CHECK_FALSE(term.scheduler()->phase_of(job_id{"5c0e7a21d94b36f8"}));
 }
+
+namespace {
+
+/// A store that gives the same answer to every call, and its client.
+struct odd_store
+{
+    event_loop loop;
+    http_response response;
+    http_server server{loop, {}, [this](exchange_id id, http_request const&) {
+                           server.respond(id, response);
+                       }};
+    platform::kv_client client{loop, {take(server.listen({"127.0.0.1", 0}))}};
+    kv_store store = client.store();
+
+    explicit odd_store(json const& body) : response{200, {}, body.dump()} {}
+
+    result<kv_page> list()
+    {
+        std::optional<result<kv_page>> got;
+        store.list("p/", "", [&](auto const& page) { got = page; });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+
+    result<kv_changes> watch()
+    {
+        std::optional<result<kv_changes>> got;
+        store.watch("p/", 1, 10ms, [&](auto const& seen) { got = seen; });
+        REQUIRE(run_until(loop, [&] { return got.has_value(); }));
+        return *got;
+    }
+};
+
+/// Items that name no key at a revision.
+std::vector<json> nameless_items()
+{
+    return {
+        json(7),
+        json::object(),
+        {{"key", 7}, {"rev", 2}, {"value", ""}},
+        {{"key", "p/odd"}, {"rev", -1}, {"value", ""}},
+        {{"key", "p/odd"}, {"rev", 1.5}, {"value", ""}},
+        {{"key", "p/odd"}, {"rev", 1e300}, {"value", ""}},
+        {{"key", "p/odd"}, {"tombstone", true}}};
+}
+
+} // namespace
+
+// Processes that no longer follow: the whole list or watch failed, for ever.
+TEST_CASE("an odd item doesn't keep a list or a watch from the items beside it")
+{
+    json const sound = {{"key", "p/b"}, {"rev", 3}, {"value", "Zg=="}};
+    for (auto const& odd : nameless_items()) {
+        INFO(odd);
+        auto const listed =
+            odd_store({{"items", {odd, sound}}, {"current_rev", 5}}).list();
+        REQUIRE(ok(listed));
+        REQUIRE(value(listed).items.size() == 1);
+        CHECK(value(listed).items[0].value == "f");
+        auto const seen =
+            odd_store({{"events", {odd, sound}}, {"current_rev", 5}}).watch();
+        REQUIRE(ok(seen));
+        REQUIRE(value(seen).changes.size() == 1);
+        CHECK(value(seen).changes[0].item.key == "p/b");
+        CHECK(value(seen).revision == 5);
+    }
+}
+
+// Processes that no longer follow: the whole list or watch failed, for ever.
+TEST_CASE("an item whose value can't be read has its key and no value")
+{
+    for (json const& odd : {json(7), json("*"), json(nullptr)}) {
+        json const item = {{"key", "p/odd"}, {"rev", 2}, {"value", odd}};
+        auto const listed =
+            odd_store({{"items", {item}}, {"current_rev", 5}}).list();
+        REQUIRE(ok(listed));
+        REQUIRE(value(listed).items.size() == 1);
+        CHECK(value(listed).items[0] == kv_item{"p/odd", "", 2, 0});
+        auto const seen =
+            odd_store({{"events", {item}}, {"current_rev", 5}}).watch();
+        REQUIRE(ok(seen));
+        REQUIRE(value(seen).changes.size() == 1);
+        CHECK(value(seen).changes[0].item == kv_item{"p/odd", "", 2, 0});
+    }
+}
