Let an odd heartbeat name no worker

What callers saw or could see: none was seen. A heartbeat of another writer with a born of 1e300, a capacity of -1 or a port of 99999 counted as a worker; with a later born than the real one's it took its place, and the runs were dropped.

Cause: numbers were read with get(), which wraps, and the address wasn't read, as the runner calls the address in its settings.

Ruled out: deep nesting, 1e400 and NaN; they were errors already.

Change: numbers are range-checked; fractions are dropped as before, except in born. The address must be an address and a port of 1 to 65535.

Open: a well-formed heartbeat of another writer, with a later born, still takes the place of the worker.

--- a/src/common/json_number.hpp
+++ b/src/common/json_number.hpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace sycamorespar {
 
@@ -19,6 +20,10 @@
 /// of two still fits into a count of nanoseconds.
 inline constexpr std::chrono::milliseconds max_json_time{4'000'000'000'000};
 
+/// The largest amount of a resource read from JSON: sums over all tasks of a
+/// job stay in range.
+inline constexpr std::int64_t max_json_amount = 1'000'000'000'000;
+
 /// A JSON number that is missing, of another type or out of range.
 class number_error : public std::runtime_error
 {
@@ -85,11 +90,42 @@
     nlohmann::json const& object, char const* name, T default_value,
     number_bounds<T> const& bounds = {})
 {
+    if (!object.is_object())
+        throw number_error(name);
     auto const found = object.find(name);
     return found == object.end() ? default_value
                                  : read_number(*found, name, bounds);
 }
 
+/// Converts an array of whole numbers with read_whole().
+template<std::integral T>
+std::vector<T> read_numbers(nlohmann::json const& from, std::string const& name)
+{
+    if (!from.is_array())
+        throw number_error(name);
+    std::vector<T> numbers;
+    for (auto const& each : from)
+        numbers.push_back(read_whole<T>(each, name));
+    return numbers;
+}
+
+/// Reads a member of an object with read_numbers(); empty if it is absent.
+template<std::integral T>
+std::vector<T>
+read_numbers_or_empty(nlohmann::json const& object, char const* name)
+{
+    auto const found = object.find(name);
+    return found == object.end() ? std::vector<T>()
+                                 : read_numbers<T>(*found, name);
+}
+
+/// Reads an amount of a resource with read_number_or(); zero if it is absent.
+inline std::int64_t
+read_amount_or_zero(nlohmann::json const& object, char const* name)
+{
+    return read_number_or<std::int64_t>(object, name, 0, {0, max_json_amount});
+}
+
 /// Converts a number of milliseconds, zero or above.
 inline std::chrono::milliseconds
 read_time(nlohmann::json const& from, std::string const& name)
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -4,6 +4,8 @@
 #include "common/http_client.hpp"
 #include "common/http_server.hpp"
 #include "libsycamorespar/graph_progress.hpp"
+#include "platform/configuration.hpp"
+#include "platform/job_body.hpp"
 #include "platform/kv_client.hpp"
 #include "platform/worker_client.hpp"
 #include "records/graph_json.hpp"
@@ -407,3 +409,61 @@
         CHECK(value(seen).changes[0].item == kv_item{"p/odd", "", 2, 0});
     }
 }
+
+namespace {
+
+json sound_announcement()
+{
+    return json::parse(
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"north",
+        "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
+        "capacity":{"cpu":16000,"mem_mb":32768,"gpu":1},"labels":["a","r1-3"],
+        "clock_ms":482113,"born":1775540114535,"drain_remaining_ms":0,
+        "sequence":4})");
+}
+
+bool is_usable(json const& announced)
+{
+    return ok(platform::read_announcement("i-1", announced.dump()));
+}
+
+} // namespace
+
+// Silently wrong values: a worker of another writer replaced the one in use.
+TEST_CASE("a heartbeat with an odd number or address names no worker")
+{
+    REQUIRE(is_usable(sound_announcement()));
+    for (auto const* pointer :
+         {"/born", "/capacity/cpu", "/capacity/mem_mb", "/capacity/gpu",
+          "/clock_ms", "/drain_remaining_ms"}) {
+        for (json const& number :
+             {json(-1), json(1e300), json(18'446'744'073'709'551'615U),
+              json("1"), json(nullptr), json::array({1})}) {
+            auto odd = sound_announcement();
+            odd.at(json::json_pointer(pointer)) = number;
+            INFO(odd);
+            CHECK_FALSE(is_usable(odd));
+        }
+    }
+    for (json const& where :
+         {json("10.0.0.9"), json("10.0.0.9:"), json("10.0.0.9:0"),
+          json("10.0.0.9:65536"), json("10.0.0.9:99999"), json("10.0.0.9:-1"),
+          json("10.0.0.9:80a"), json(":80"), json(""), json(8080)}) {
+        auto odd = sound_announcement();
+        odd["address"] = where;
+        INFO(odd);
+        CHECK_FALSE(is_usable(odd));
+    }
+    auto odd = sound_announcement();
+    odd["born"] = 1775540114535.5;
+    CHECK_FALSE(is_usable(odd));
+    odd = sound_announcement();
+    odd["labels"] = std::vector<std::string>(100'000, "label");
+    CHECK_FALSE(is_usable(odd));
+    auto const text = sound_announcement().dump();
+    auto const deep = std::string(100'000, '[') + std::string(100'000, ']');
+    for (auto const& value : {deep, std::string("1e400"), std::string("NaN")})
+        CHECK_FALSE(ok(platform::read_announcement(
+            "i-1",
+            text.substr(0, text.size() - 1) + ",\"more\":" + value + "}")));
+}
