Refuse numbers out of range in jobs, records and configurations

What callers saw or could see: none was seen. A step's count of 2^32 + 1 was taken as 1, so that a job ran with fewer tasks than asked for; a count of 1e300 or a first_ms of 4e18 gave arbitrary values or times that overflow.

Cause: get() and value() of the JSON library wrap integers and leave a float out of range undefined.

Change: the numbers are range-checked: times up to max_json_time, amounts up to max_json_amount, zero or above. Such a job is an invalid body (400); a record or configuration is unreadable, as with other malformed values. Fractions are dropped as before, but not in a step's `after`, which lists whole numbers.

--- a/src/records/graph_json.cpp
+++ b/src/records/graph_json.cpp
@@ -1,6 +1,8 @@
 /// Members with their default value are omitted, since most steps set few.
 #include "records/graph_json.hpp"
 
+#include "common/json_number.hpp"
+
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -9,7 +11,6 @@
 namespace {
 
 using nlohmann::json;
-using std::chrono::milliseconds;
 
 template<class T>
 void put(json& into, char const* name, T const& value, T const& usual = {})
@@ -45,25 +46,25 @@
 graph_step read_step(json const& from)
 {
     graph_step step;
-    step.count = from.value("count", 0U);
+    step.count = read_number_or(from, "count", 0U);
     step.need = {
-        from.value("millicores", std::int64_t{0}),
-        from.value("memory_mib", std::int64_t{0}),
-        from.value("accelerators", std::int64_t{0})};
-    step.estimate = milliseconds(from.value("estimate_ms", std::int64_t{0}));
-    step.after = from.value("after", std::vector<std::uint32_t>{});
+        read_amount_or_zero(from, "millicores"),
+        read_amount_or_zero(from, "memory_mib"),
+        read_amount_or_zero(from, "accelerators")};
+    step.estimate = read_time_or_zero(from, "estimate_ms");
+    step.after = read_numbers_or_empty<std::uint32_t>(from, "after");
     step.saves_progress = from.value("saves_progress", false);
     step.gang = from.value("gang", false);
     step.same_rack = from.value("same_rack", false);
     step.required_label = from.value("required_label", "");
     step.data_rack.value = from.value("data_rack", "");
-    step.max_per_worker = from.value("max_per_worker", 0U);
+    step.max_per_worker = read_number_or(from, "max_per_worker", 0U);
     step.speculative = from.value("speculative", false);
     step.long_running = from.value("long_running", false);
     step.fills = from.value("fills", false);
     step.image = from.value("image", "");
-    step.target = milliseconds(from.value("target_ms", std::int64_t{0}));
-    step.may_miss = from.value("may_miss", 0U);
+    step.target = read_time_or_zero(from, "target_ms");
+    step.may_miss = read_number_or(from, "may_miss", 0U);
     return step;
 }
 
@@ -121,12 +122,13 @@
         job.graph.payload = from.at("payload").get<std::string>();
         for (auto const& step : from.at("steps"))
             job.graph.steps.push_back(read_step(step));
-        job.accepted_in.value = from.at("term").get<std::uint64_t>();
+        job.accepted_in.value =
+            read_whole<std::uint64_t>(from.at("term"), "term");
         if (auto const found = from.find("schedule"); found != from.end())
             job.graph.schedule = {
-                found->at("count").get<std::uint32_t>(),
-                milliseconds(found->at("first_ms").get<std::int64_t>()),
-                milliseconds(found->at("interval_ms").get<std::int64_t>())};
+                read_whole<std::uint32_t>(found->at("count"), "count"),
+                read_time(found->at("first_ms"), "first_ms"),
+                read_time(found->at("interval_ms"), "interval_ms")};
         if (auto const fault = find_fault(job.graph))
             throw std::invalid_argument(*fault);
         return job;
@@ -154,14 +156,16 @@
         "record.progress", text, [](json const& from) {
             graph_snapshot progress;
             progress.phase = read_phase(from.at("phase").get<std::string>());
-            progress.first_open = from.at("first_open").get<std::uint32_t>();
+            progress.first_open =
+                read_whole<std::uint32_t>(from.at("first_open"), "first_open");
             for (auto const& task : from.at("tasks"))
                 progress.tasks.push_back(
-                    {task.at(0).get<std::uint32_t>(),
-                     task.at(1).get<std::uint32_t>(),
-                     task.at(2).get<std::uint32_t>(), task.at(3).get<bool>(),
-                     task.at(4).get<std::uint32_t>(),
-                     task.at(5).get<std::vector<std::uint32_t>>(),
+                    {read_whole<std::uint32_t>(task.at(0), "occurrence"),
+                     read_whole<std::uint32_t>(task.at(1), "step"),
+                     read_whole<std::uint32_t>(task.at(2), "index"),
+                     task.at(3).get<bool>(),
+                     read_whole<std::uint32_t>(task.at(4), "last_run"),
+                     read_numbers<std::uint32_t>(task.at(5), "failed_runs"),
                      task.at(6).get<std::string>()});
             return progress;
         });
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -467,3 +467,98 @@
             "i-1",
             text.substr(0, text.size() - 1) + ",\"more\":" + value + "}")));
 }
+
+// Silently wrong values: numbers that wrapped, times whose sum overflows.
+TEST_CASE("a job's number out of range is an error")
+{
+    auto const submitted = [](json const& body) {
+        return platform::read_job_body(
+            job_id{"5c0e7a21d94b36f8"}, queue_id{"q"}, body.dump());
+    };
+    json const sound = {
+        {"steps",
+         {{{"count", 4},
+           {"cpu", 500},
+           {"estimated_ms", 900},
+           {"target_ms", 18},
+           {"may_miss", 1},
+           {"anti_affinity", 2}},
+          {{"count", 1}, {"after", {0}}}}},
+        {"repeat_count", 3},
+        {"first_ms", 1'700'000'000'000},
+        {"interval_ms", 500}};
+    auto const read = submitted(sound);
+    REQUIRE(ok(read));
+    accepted_job const job{value(read), scheduler_term{1}};
+    auto const record = json::parse(write_job(job));
+    REQUIRE(ok(read_job(record.dump())));
+    for (json const& number : {json(-1), json(1e300), json(4e18), json("1")}) {
+        for (auto const* pointer :
+             {"/steps/0/count", "/steps/0/cpu", "/steps/0/estimated_ms",
+              "/steps/0/target_ms", "/steps/0/may_miss",
+              "/steps/0/anti_affinity", "/steps/1/after/0", "/repeat_count",
+              "/first_ms", "/interval_ms"}) {
+            auto odd = sound;
+            odd.at(json::json_pointer(pointer)) = number;
+            INFO(odd);
+            CHECK_FALSE(ok(submitted(odd)));
+        }
+        for (auto const* pointer :
+             {"/steps/0/count", "/steps/0/millicores", "/steps/0/estimate_ms",
+              "/steps/0/target_ms", "/steps/0/may_miss",
+              "/steps/0/max_per_worker", "/steps/1/after/0", "/schedule/count",
+              "/schedule/first_ms", "/schedule/interval_ms"}) {
+            auto odd = record;
+            odd.at(json::json_pointer(pointer)) = number;
+            INFO(odd);
+            CHECK_FALSE(ok(read_job(odd.dump())));
+        }
+    }
+    // 2^32 + 1 was read as 1.
+    auto wrapped = sound;
+    wrapped["steps"][0]["count"] = 4'294'967'297;
+    CHECK_FALSE(ok(submitted(wrapped)));
+}
+
+// Silently wrong values: numbers that wrapped.
+TEST_CASE("a number out of range in progress or configuration is an error")
+{
+    json const progress = {
+        {"phase", "running"},
+        {"first_open", 0},
+        {"tasks", {{0, 0, 0, false, 1, {1}, ""}}}};
+    REQUIRE(ok(read_progress(progress.dump())));
+    for (auto const* pointer :
+         {"/first_open", "/tasks/0/0", "/tasks/0/1", "/tasks/0/2", "/tasks/0/4",
+          "/tasks/0/5/0"}) {
+        for (json const& number :
+             {json(-1), json(1.5), json(1e300), json(4'294'967'296)}) {
+            auto odd = progress;
+            odd.at(json::json_pointer(pointer)) = number;
+            INFO(odd);
+            CHECK_FALSE(ok(read_progress(odd.dump())));
+        }
+    }
+    json const configuration = {
+        {"version", 1},
+        {"routes",
+         {{{"name", "q"},
+           {"host", "h"},
+           {"prefix", "/"},
+           {"service", "s"},
+           {"priority", -2},
+           {"max_attempts", 3}}}},
+        {"limits", {{"max_body_bytes", 1000}}}};
+    REQUIRE(ok(platform::read_configuration(configuration.dump())));
+    for (auto const* pointer :
+         {"/version", "/routes/0/priority", "/routes/0/max_attempts",
+          "/limits/max_body_bytes"}) {
+        for (json const& number :
+             {json(-4e9), json(1e300), json("1"), json(nullptr)}) {
+            auto odd = configuration;
+            odd.at(json::json_pointer(pointer)) = number;
+            INFO(odd);
+            CHECK_FALSE(ok(platform::read_configuration(odd.dump())));
+        }
+    }
+}
