--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -209,6 +209,14 @@
         log_error("job_unreadable", failure(job));
         return;
     }
+    // A term is the revision of an earlier write, so that only a record of
+    // another writer names a later one.
+    if (value(job).accepted_in.value > item.revision) {
+        log_error(
+            "job_unreadable",
+            {"record.job", item.key, "the term is later than the record"});
+        return;
+    }
     on_stored(value(job), item.revision);
 }
 
@@ -256,8 +264,11 @@
     if (is_plan_due_)
         return;
     is_plan_due_ = true;
+    // A pass takes long while many tasks wait, and reports make the next one
+    // due at once. The answers of the store, which arrive in small pieces, go
+    // first: they tell which of the tasks were cancelled.
     std::weak_ptr<bool> const guard = alive_;
-    loop_.after(duration::zero(), [this, guard] {
+    loop_.when_idle(tick_period, [this, guard] {
         if (!guard.expired())
             plan();
     });
