Record only what a later leader can't learn from the workers

Cause: the record of a job listed all of its tasks, with their checkpoints, and was written at each end of a run.

Ruled out: writing less often. An end is acknowledged only once it is recorded, and the next start on the worker waits for nothing else; longer groups delay it.

Change: finished tasks are a bitmap by step. Unfinished ones are listed if they failed, have a checkpoint and no live run, or ran more than 20 times. A successor learns live runs and their checkpoints from the runners, and skips 100 run numbers, so numbers stay unique. Records of earlier builds are still read.

--- a/src/libsycamorespar/graph_progress.cpp
+++ b/src/libsycamorespar/graph_progress.cpp
@@ -17,6 +17,11 @@
 /// recorded within seconds, so there are far fewer.
 constexpr std::uint32_t max_unrecorded_runs = 100;
 
+/// The number of the latest run up to which a task without failures is not
+/// recorded. Together with the unrecorded runs it stays below the numbers that
+/// a new leader skips.
+constexpr std::uint32_t max_unlisted_run = max_unrecorded_runs / 5;
+
 /// Runs of one task that may be live at once if copies may run.
 constexpr std::size_t max_live_runs = 2;
 
@@ -92,6 +97,10 @@
         if (each.occurrence < occurrences)
             next_occurrence_ = std::max(next_occurrence_, each.occurrence + 1);
     }
+    for (auto const& each : recorded.steps) {
+        if (each.occurrence < occurrences)
+            next_occurrence_ = std::max(next_occurrence_, each.occurrence + 1);
+    }
     for (auto each = first_open_; each < next_occurrence_; ++each)
         occurrences_.emplace(each, new_occurrence());
     for (auto const& each : recorded.tasks) {
@@ -105,6 +114,20 @@
         if (each.is_done && !task->is_done)
             complete_task(id);
     }
+    for (auto const& each : recorded.steps)
+        restore_done(each);
+}
+
+void graph_progress::restore_done(step_snapshot const& recorded)
+{
+    for (std::size_t index = 0; index < recorded.is_done.size(); ++index) {
+        task_id const id{
+            graph_.id, recorded.occurrence, recorded.step,
+            static_cast<std::uint32_t>(index)};
+        auto const* const task = find(id);
+        if (recorded.is_done[index] && task != nullptr && !task->is_done)
+            complete_task(id);
+    }
 }
 
 graph_step const& graph_progress::step_of(task_id const& task) const
@@ -395,23 +418,38 @@
 
 graph_snapshot graph_progress::snapshot() const
 {
-    graph_snapshot written{phase_, first_open_, {}};
+    graph_snapshot written{phase_, first_open_, {}, {}};
     if (is_final(phase_))
         return written;
     for (auto const& [occurrence, of] : occurrences_) {
-        for (std::uint32_t step = 0; step < of.steps.size(); ++step) {
-            auto const& tasks = of.steps[step].tasks;
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                auto const& task = tasks[index];
-                if (task.last_run == 0 && !task.is_done)
-                    continue;
-                written.tasks.push_back(
-                    {occurrence, step, index, task.is_done, task.last_run,
-                     task.failed_runs, task.checkpoint});
-            }
-        }
+        for (std::uint32_t step = 0; step < of.steps.size(); ++step)
+            append_snapshot(occurrence, step, written);
     }
     return written;
 }
 
+void graph_progress::append_snapshot(
+    std::uint32_t occurrence, std::uint32_t step, graph_snapshot& to) const
+{
+    auto const& progress = occurrences_.at(occurrence).steps[step];
+    auto const& tasks = progress.tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        auto const& task = tasks[index];
+        bool const is_listed =
+            !task.failed_runs.empty() || task.last_run > max_unlisted_run ||
+            (!task.checkpoint.empty() && task.live_runs.empty());
+        if (is_listed && !task.is_done)
+            to.tasks.push_back(
+                {occurrence, step, index, false, task.last_run,
+                 task.failed_runs, task.checkpoint});
+    }
+    if (progress.done == 0)
+        return;
+    step_snapshot finished{occurrence, step, {}};
+    finished.is_done.reserve(tasks.size());
+    for (auto const& task : tasks)
+        finished.is_done.push_back(task.is_done);
+    to.steps.push_back(std::move(finished));
+}
+
 } // namespace sycamorespar
--- a/src/libsycamorespar/graph_progress.hpp
+++ b/src/libsycamorespar/graph_progress.hpp
@@ -75,15 +75,34 @@
     bool operator==(task_snapshot const&) const = default;
 };
 
-/// The progress of a job as the store records it.
+/// The finished tasks of one step.
+struct step_snapshot
+{
+    /// The occurrence of its job, from 0.
+    std::uint32_t occurrence = 0;
+    /// The step, from 0.
+    std::uint32_t step = 0;
+    /// For each task from index 0 on, whether it has finished; the others
+    /// haven't.
+    std::vector<bool> is_done;
+
+    bool operator==(step_snapshot const&) const = default;
+};
+
+/// The progress of a job as the store records it. Leaves out what a later
+/// scheduler learns from the workers: the few runs of a task that has not
+/// failed, and the checkpoint of a live run.
 struct graph_snapshot
 {
     /// The phase of the job.
     job_phase phase = job_phase::queued;
     /// All occurrences before this one are complete, and are not listed.
     std::uint32_t first_open = 0;
-    /// The tasks that differ from their initial state.
+    /// Unfinished tasks that differ from their initial state. Records of
+    /// earlier builds list finished ones too.
     std::vector<task_snapshot> tasks;
+    /// The steps that have finished tasks.
+    std::vector<step_snapshot> steps;
 
     bool operator==(graph_snapshot const&) const = default;
 };
@@ -181,6 +200,9 @@
         std::vector<task_id>& due) const;
     std::uint32_t next_run_number(task_progress const& task) const;
     void count_failure(run_id const& run);
+    void restore_done(step_snapshot const& recorded);
+    void append_snapshot(
+        std::uint32_t occurrence, std::uint32_t step, graph_snapshot& to) const;
     std::vector<task_id> complete_task(task_id const& task);
     std::vector<task_id> complete_gang(task_id const& member);
     void close_occurrence(std::uint32_t occurrence);
--- a/src/records/graph_json.cpp
+++ b/src/records/graph_json.cpp
@@ -4,6 +4,7 @@
 #include "common/json_number.hpp"
 
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 namespace sycamorespar {
@@ -68,6 +69,59 @@
     return step;
 }
 
+constexpr unsigned bits_per_digit = 4;
+constexpr char digits[] = "0123456789abcdef";
+
+/// Hexadecimal digits, the first flag in the lowest bit of the first digit.
+std::string write_flags(std::vector<bool> const& flags)
+{
+    std::string text((flags.size() + bits_per_digit - 1) / bits_per_digit, '0');
+    for (std::size_t digit = 0; digit < text.size(); ++digit) {
+        unsigned value = 0;
+        for (unsigned bit = 0; bit < bits_per_digit; ++bit) {
+            auto const at = digit * bits_per_digit + bit;
+            if (at < flags.size() && flags[at])
+                value |= 1U << bit;
+        }
+        text[digit] = digits[value];
+    }
+    return text;
+}
+
+std::vector<bool> read_flags(std::string const& text)
+{
+    std::vector<bool> flags;
+    flags.reserve(text.size() * bits_per_digit);
+    for (char const each : text) {
+        auto const found = std::string_view(digits).find(each);
+        if (found == std::string_view::npos)
+            throw std::invalid_argument("flags that are not hexadecimal");
+        for (unsigned bit = 0; bit < bits_per_digit; ++bit)
+            flags.push_back((found >> bit & 1U) != 0);
+    }
+    return flags;
+}
+
+json write_done(std::vector<step_snapshot> const& steps)
+{
+    json out = json::array();
+    for (auto const& step : steps)
+        out.push_back(json::array(
+            {step.occurrence, step.step, write_flags(step.is_done)}));
+    return out;
+}
+
+std::vector<step_snapshot> read_done(json const& from)
+{
+    std::vector<step_snapshot> steps;
+    for (auto const& step : from)
+        steps.push_back(
+            {read_whole<std::uint32_t>(step.at(0), "occurrence"),
+             read_whole<std::uint32_t>(step.at(1), "step"),
+             read_flags(step.at(2).get<std::string>())});
+    return steps;
+}
+
 job_phase read_phase(std::string const& name)
 {
     for (auto const phase :
@@ -142,10 +196,11 @@
         tasks.push_back(json::array(
             {task.occurrence, task.step, task.index, task.is_done,
              task.last_run, task.failed_runs, task.checkpoint}));
-    json const out = {
+    json out = {
         {"phase", to_string(progress.phase)},
         {"first_open", progress.first_open},
         {"tasks", std::move(tasks)}};
+    put(out, "done", write_done(progress.steps), json::array());
     // As for a job: the checkpoint comes from a worker.
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -167,6 +222,8 @@
                      read_whole<std::uint32_t>(task.at(4), "last_run"),
                      read_numbers<std::uint32_t>(task.at(5), "failed_runs"),
                      task.at(6).get<std::string>()});
+            if (auto const steps = from.find("done"); steps != from.end())
+                progress.steps = read_done(*steps);
             return progress;
         });
 }
--- a/tests/graph_progress_test.cpp
+++ b/tests/graph_progress_test.cpp
@@ -172,6 +172,62 @@
     CHECK(after.begin_run(task(0, 1)) > 2);
 }
 
+// Over a slow link, the records of wide jobs were more than all other messages.
+TEST_CASE("the record of a wide job lists no tasks that merely run")
+{
+    constexpr std::uint32_t width = 160;
+    graph_progress progress(graph_of({tasks(width), tasks(1, {0})}), 3);
+    for (std::uint32_t index = 0; index < width; ++index) {
+        progress.begin_run(task(0, index));
+        progress.save_checkpoint({task(0, index), 1}, "00000bb87a21d94b");
+    }
+    progress.end_run({task(0, 3), 1}, run_end::finished, {});
+    progress.end_run({task(0, 4), 1}, run_end::failed, {});
+    progress.end_run({task(0, 5), 1}, run_end::stopped, {});
+    auto const recorded = progress.snapshot();
+    REQUIRE(recorded.tasks.size() == 2);
+    CHECK(recorded.tasks[0].failed_runs == std::vector<std::uint32_t>{1});
+    CHECK(recorded.tasks[1].checkpoint == "00000bb87a21d94b");
+
+    graph_progress after(graph_of({tasks(width), tasks(1, {0})}), 3);
+    after.restore(recorded);
+    CHECK(after.find(task(0, 3))->is_done);
+    CHECK_FALSE(after.is_due(task(0, 3)));
+    CHECK(after.due_tasks().size() == width - 1);
+    CHECK(after.checkpoint_of(task(0, 5)) == "00000bb87a21d94b");
+    CHECK(after.begin_run(task(0, 9)) > 1);
+}
+
+TEST_CASE("run numbers stay unique however often a task ran before a takeover")
+{
+    for (std::uint32_t const runs : {1U, 19U, 20U, 21U, 60U}) {
+        INFO(runs);
+        graph_progress before(graph_of({tasks(1)}), 3);
+        std::uint32_t last = 0;
+        for (std::uint32_t run = 0; run < runs; ++run) {
+            last = before.begin_run(task(0, 0));
+            before.end_run({task(0, 0), last}, run_end::refused, {});
+        }
+        graph_progress after(graph_of({tasks(1)}), 3);
+        after.restore(before.snapshot());
+        CHECK(after.begin_run(task(0, 0)) > last);
+    }
+}
+
+TEST_CASE("the bits of finished steps are recorded and read back")
+{
+    graph_progress before(graph_of({tasks(7), tasks(3, {0})}), 3);
+    for (std::uint32_t index = 0; index < 7; ++index)
+        run_to(before, task(0, index), run_end::finished);
+    run_to(before, task(1, 2), run_end::finished);
+    graph_progress after(graph_of({tasks(7), tasks(3, {0})}), 3);
+    after.restore(before.snapshot());
+    CHECK(after.due_tasks() == std::vector{task(1, 0), task(1, 1)});
+    run_to(after, task(1, 0), run_end::finished);
+    run_to(after, task(1, 1), run_end::finished);
+    CHECK(after.phase() == job_phase::completed);
+}
+
 TEST_CASE("an unrecorded run is adopted, an older one is not")
 {
     graph_progress progress(graph_of({tasks(1)}), 3);
--- a/tests/graph_records_test.cpp
+++ b/tests/graph_records_test.cpp
@@ -98,6 +98,9 @@
     progress.first_open = 2;
     progress.tasks = {
         {2, 1, 3, true, 4, {1}, ""}, {2, 1, 4, false, 9, {}, "s"}};
+    progress.steps = {
+        {2, 0, {true, false, true, true}},
+        {3, 1, {false, true, false, false, true, true, true, false}}};
     auto const read = read_progress(write_progress(progress));
     REQUIRE(ok(read));
     CHECK(value(read) == progress);
@@ -109,6 +112,9 @@
          {"", "{}", "[]", "null",
           R"({"phase":"lost","first_open":0,"tasks":[]})",
           R"({"phase":"queued","first_open":0,"tasks":[[1]]})",
+          R"({"phase":"queued","first_open":0,"tasks":[],"done":[[0,0,"0g"]]})",
+          R"({"phase":"queued","first_open":0,"tasks":[],"done":[[0,-1,"0"]]})",
+          R"({"phase":"queued","first_open":0,"tasks":[],"done":[[0,0,7]]})",
           R"({"phase":"queued","first_open":"0","tasks":[]})"})
         CHECK_FALSE(ok(read_progress(text)));
     CHECK_FALSE(ok(read_job(R"({"id":"a","queue":"q","payload":"","term":1,
