--- a/src/common/event_loop.hpp
+++ b/src/common/event_loop.hpp
@@ -21,6 +21,9 @@
 class event_loop
 {
 public:
+    /// The libevent priority of events that are run before all others.
+    static constexpr int urgent_priority = 0;
+
     event_loop();
     ~event_loop();
     event_loop(event_loop const&) = delete;
--- a/src/common/http_client.cpp
+++ b/src/common/http_client.cpp
@@ -20,6 +20,10 @@
 
 namespace {
 
+/// The most bytes of an answer that are read in one turn of the loop. With few,
+/// a large answer takes many turns, which are long in a busy process.
+constexpr std::size_t max_single_read = 256 * 1024;
+
 evhttp_cmd_type method_type(std::string const& name)
 {
     if (name == "POST")
@@ -117,6 +121,7 @@
 {
     std::uint64_t number = 0;
     event_id deadline = 0;
+    monotonic_time begun_at{};
     http_request request;
     callback on_result;
 };
@@ -131,6 +136,9 @@
     evhttp_request_error failure_code = EVREQ_HTTP_EOF;
     std::uint64_t call_number = 0;
     event_id deadline = 0;
+    monotonic_time begun_at{};
+    std::size_t received = 0;
+    std::size_t unsent = 0;
     callback on_result;
 
     ~connection() { close(); }
@@ -164,6 +172,23 @@
             unusable = true;
     }
 
+    /// Updates the counts of bytes. Once the request is sent, only received
+    /// bytes show that the peer is alive.
+    /// \return true if bytes have moved since the last update.
+    bool has_progressed()
+    {
+        auto* stream = evhttp_connection_get_bufferevent(handle);
+        auto const now_received =
+            evbuffer_get_length(bufferevent_get_input(stream));
+        auto const now_unsent =
+            evbuffer_get_length(bufferevent_get_output(stream));
+        bool const is_progress =
+            now_received != received || (now_unsent > 0 && now_unsent < unsent);
+        received = now_received;
+        unsent = now_unsent;
+        return is_progress;
+    }
+
     bool unusable = false;
 
     result<http_response> read_result(evhttp_request* raw) const
@@ -273,8 +298,9 @@
     std::uint64_t const number = next_call_++;
     auto const deadline =
         loop_.after(total, [this, number] { on_deadline(number); });
-    waiting_.push_back(std::make_unique<pending>(
-        pending{number, deadline, std::move(request), std::move(on_result)}));
+    waiting_.push_back(std::make_unique<pending>(pending{
+        number, deadline, event_loop::now(), std::move(request),
+        std::move(on_result)}));
     start_waiting();
 }
 
@@ -296,7 +322,7 @@
         connections_.begin(), connections_.end(), [&](auto const& each) {
             return each->busy && each->call_number == call_number;
         });
-    if (sent == connections_.end())
+    if (sent == connections_.end() || extend_deadline(**sent))
         return;
     (*sent)->close();
     auto const on_result = (*sent)->end_call();
@@ -307,6 +333,18 @@
         start_waiting();
 }
 
+bool http_client::extend_deadline(connection& of)
+{
+    auto const spent = event_loop::now() - of.begun_at;
+    if (spent >= limits_.longest || !of.has_progressed())
+        return false;
+    auto const left =
+        std::min<duration>(limits_.timeout, limits_.longest - spent);
+    of.deadline = loop_.after(
+        left, [this, number = of.call_number] { on_deadline(number); });
+    return true;
+}
+
 http_client::connection* http_client::find_connection()
 {
     auto const free = std::find_if(
@@ -344,11 +382,15 @@
     evhttp_connection_set_max_body_size(
         chosen.handle, static_cast<ev_ssize_t>(limits_.max_body_bytes));
     auto const micros = std::chrono::duration_cast<std::chrono::microseconds>(
-        std::max(limits_.timeout, limits_.idle));
+        std::max({limits_.timeout, limits_.idle, limits_.longest}));
     constexpr std::int64_t per_second = 1'000'000;
     timeval const timeout{
         micros.count() / per_second, micros.count() % per_second};
     evhttp_connection_set_timeout_tv(chosen.handle, &timeout);
+    auto* const stream = evhttp_connection_get_bufferevent(chosen.handle);
+    bufferevent_set_max_single_read(stream, max_single_read);
+    if (limits_.is_urgent)
+        bufferevent_priority_set(stream, event_loop::urgent_priority);
 }
 
 void http_client::start(connection& chosen, pending next)
@@ -361,6 +403,9 @@
     chosen.failed_after_connect = false;
     chosen.call_number = next.number;
     chosen.deadline = next.deadline;
+    chosen.begun_at = next.begun_at;
+    chosen.received = 0;
+    chosen.unsent = next.request.body.size();
     chosen.on_result = std::move(next.on_result);
     auto* raw = evhttp_request_new(&connection::on_done, &chosen);
     evhttp_request_set_error_cb(raw, &connection::on_error);
--- a/src/common/http_client.hpp
+++ b/src/common/http_client.hpp
@@ -36,6 +36,12 @@
     /// How long an idle connection is kept; zero means as long as the timeout.
     /// If set, the timeout limits the total time of a call instead.
     std::chrono::milliseconds idle{0};
+    /// If longer than the timeout, a call whose bytes still move at its timeout
+    /// goes on, up to this time in total: over a slow link, a large message
+    /// takes long.
+    std::chrono::milliseconds longest{0};
+    /// Its connections are served before those of other clients and servers.
+    bool is_urgent = false;
 };
 
 /// Calls one endpoint. Failed calls are never retried automatically. The error
@@ -66,6 +72,7 @@
     struct pending;
     void fail_later(callback on_result, error why);
     void on_deadline(std::uint64_t call_number);
+    bool extend_deadline(connection& of);
     connection* find_connection();
     void open(connection& chosen);
     void start(connection& chosen, pending next);
--- a/src/spar-runner/report_sender.cpp
+++ b/src/spar-runner/report_sender.cpp
@@ -20,6 +20,9 @@
 /// One report waits for orders, a second one can carry changes meanwhile.
 constexpr std::uint32_t max_open_reports = 2;
 
+/// A report whose bytes keep moving may take this many timeouts.
+constexpr int longest_in_timeouts = 3;
+
 /// The header that names the leader's address.
 constexpr char const* leader_header = "X-Scheduler";
 
@@ -28,6 +31,7 @@
     http_client_limits limits;
     limits.timeout = timeout;
     limits.idle = keep_alive_time;
+    limits.longest = timeout * longest_in_timeouts;
     limits.max_connections = max_open_reports;
     return limits;
 }
--- a/tests/http_traps_test.cpp
+++ b/tests/http_traps_test.cpp
@@ -295,6 +295,50 @@
     CHECK(pair.client.in_flight() == 0);
 }
 
+// A listing that takes longer than the timeout over a slow link was thrown away
+// and begun again, for ever: a new leader never read its records.
+TEST_CASE("an answer that keeps coming over a slow link is read to its end")
+{
+    constexpr int body_bytes = 40;
+    http_client_limits limits;
+    limits.timeout = std::chrono::milliseconds(100);
+    limits.idle = std::chrono::milliseconds(30'000);
+    limits.longest = std::chrono::milliseconds(10'000);
+    scripted_pair pair(
+        [](int) {
+            return reaction{
+                "HTTP/1.1 200 OK\r\nContent-Length: " +
+                std::to_string(body_bytes) + "\r\n\r\n"};
+        },
+        limits);
+    int sent = 0;
+    pair.loop.every(std::chrono::milliseconds(10), [&] {
+        if (pair.peer.requests > 0 && sent++ < body_bytes)
+            pair.peer.send_all("x");
+    });
+    auto const got = pair.call(start);
+    REQUIRE(ok(got));
+    CHECK(value(got).body == std::string(body_bytes, 'x'));
+    CHECK(pair.peer.requests == 1);
+}
+
+TEST_CASE("an answer that stops coming ends its call within two timeouts")
+{
+    http_client_limits limits;
+    limits.timeout = std::chrono::milliseconds(100);
+    limits.idle = std::chrono::milliseconds(30'000);
+    limits.longest = std::chrono::milliseconds(20'000);
+    scripted_pair pair(
+        [](int) {
+            return reaction{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"};
+        },
+        limits);
+    auto const begun = event_loop::now();
+    CHECK(effect_of(pair.call(start)) == outcome::unknown);
+    // Far below the longest time of a call, however busy the machine is.
+    CHECK(event_loop::now() - begun < limits.longest / 2);
+}
+
 TEST_CASE("a call that times out in the queue is reported as not run")
 {
     http_client_limits limits;
