Choose a worker by an index, once for the equal tasks of a step

Cause: for each waiting task, in each pass, all workers were scanned, and for each all of its runs; each report made another pass due. At 240 workers the leader fell behind at some 540 starts a second and didn't come back: passes grew with the tasks that waited, and cancellations, reports and renewals waited behind passes.

Change: placed_runs keeps the sums of a worker's runs; worker_registry an index of free capacity and the headroom of serving tasks; worker_ranking ranks the workers once for a step; waiting_queue groups tasks by step. A step that no worker could take is tried again only on workers that have changed. Lapsed leases and moves are looked for each 50 ms instead of in each pass, a pass ends after 128 starts, and replies and acknowledgements visit only the workers that have some.

Tests: seeded worlds in which an exhaustive pass finds nothing more to place; a bound on the workers that a pass considers in a full fleet; cooldowns; fleets larger than a search.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -86,6 +86,7 @@
         must_sort = must_sort || found->second.priority != job.policy.priority;
         job.policy = found->second;
     }
+    waiting_.forget_full_steps();
     if (!must_sort)
         return;
     waiting_.clear();
@@ -146,6 +147,7 @@
     if (found == nullptr || is_final(found->progress.phase()))
         return;
     found->progress.cancel();
+    waiting_.erase_job(position_of(*found, {job, 0, 0, 0}));
     emit_job_end(*found);
     stop_live_runs(*found);
     mark_changed(job);
@@ -161,27 +163,30 @@
     scheduled_jobs_.erase(job);
 }
 
-graph_scheduler::waiting_task
-graph_scheduler::queue_entry(job_entry const& job, task_id const& id) const
+waiting_position
+graph_scheduler::position_of(job_entry const& job, task_id const& task) const
 {
     // Long-running tasks go before others of equal priority: their users are
     // without service from the moment that they become due.
     return {
-        job.policy.priority, !job.progress.step_of(id).long_running,
-        job.virtual_finish, id};
+        job.policy.priority,
+        !job.progress.step_of(task).long_running,
+        job.virtual_finish,
+        {task.job, task.occurrence, task.step, 0}};
 }
 
 void graph_scheduler::enqueue(
     job_entry const& job, std::vector<task_id> const& due)
 {
     for (auto const& task : due)
-        waiting_.insert(queue_entry(job, task));
+        waiting_.insert(position_of(job, task), task.index);
 }
 
 void graph_scheduler::order_stop(registered_worker& worker, run_id const& run)
 {
     if (!worker.order_stop(run))
         return;
+    updated_workers_.insert(worker.id);
     ++counts_.stops;
     events_.push_back(
         {scheduling_event::kind::stop_ordered, run, worker.id, {}, {}, 0});
@@ -210,13 +215,21 @@
 bool graph_scheduler::on_report(runner_report const& report, monotonic_time now)
 {
     auto& worker = workers_.at(report.worker);
-    worker.id = report.worker;
     bool const is_older_incarnation =
         report.facts.incarnation.born < worker.facts.incarnation.born;
     bool const is_older_report = worker.runner == report.runner &&
                                  report.sequence <= worker.last_sequence;
     if (is_older_incarnation || is_older_report)
         return false;
+    process_report(worker, report, now);
+    workers_.on_changed(worker);
+    updated_workers_.insert(worker.id);
+    return true;
+}
+
+void graph_scheduler::process_report(
+    registered_worker& worker, runner_report const& report, monotonic_time now)
+{
     if (worker.runner != report.runner) {
         events_.push_back(
             {scheduling_event::kind::session_began,
@@ -236,16 +249,16 @@
     worker.is_reachable = report.is_reachable;
     if (report.facts.has_left) {
         process_leave(worker, report, now);
-        return true;
+        return;
     }
     if (report.token != worker.token) {
         worker.has_new_token = true;
-        return true;
+        return;
     }
     worker.has_new_token = false;
     worker.confirm_orders(report.last_order);
     if (!report.is_listed)
-        return true;
+        return;
     process_ends(worker, report, now);
     for (auto const& refusal : report.refusals)
         end_run(worker, refusal.run, run_end::refused, {}, now);
@@ -253,7 +266,6 @@
     workers_.update_contention(worker, now);
     worker.is_listed = true;
     unsettled_workers_.erase(worker.id);
-    return true;
 }
 
 // A worker that has left can't list its runs under a new token, so its leave is
@@ -299,8 +311,10 @@
 void graph_scheduler::end_all_runs(
     registered_worker& worker, monotonic_time now)
 {
-    auto const runs = worker.runs;
-    for (auto const& [run, placed] : runs)
+    std::vector<run_id> ended;
+    for (auto const& [run, placed] : worker.runs)
+        ended.push_back(run);
+    for (auto const& run : ended)
         end_run(worker, run, run_end::lost, {}, now);
 }
 
@@ -316,7 +330,7 @@
     if (!job->progress.adopt_run(run))
         return false;
     job->live_runs.emplace(run, worker.id);
-    worker.runs.emplace(run, placement_of(*job, run.task));
+    worker.runs.insert(run, placement_of(*job, run.task));
     return true;
 }
 
@@ -335,6 +349,7 @@
         auto const* const job = find_job(end.run.task.job);
         worker.ends[end.number] = {
             end.run.task.job, job == nullptr ? 0 : job->progress.version()};
+        workers_with_ends_.insert(worker.id);
     }
     advance_acknowledgements(worker);
 }
@@ -354,6 +369,7 @@
     if (!is_final(job->progress.phase()))
         return;
     emit_job_end(*job);
+    waiting_.erase_job(position_of(*job, run.task));
     stop_live_runs(*job);
 }
 
@@ -368,18 +384,28 @@
 void graph_scheduler::end_missing_runs(
     registered_worker& worker, runner_report const& report, monotonic_time now)
 {
-    std::set<run_id> reported;
+    std::vector<run_id const*> reported;
+    reported.reserve(report.runs.size());
     for (auto const& each : report.runs)
-        reported.insert(each.run);
+        reported.push_back(&each.run);
+    auto const is_before = [](run_id const* left, run_id const* right) {
+        return *left < *right;
+    };
+    if (!std::is_sorted(reported.begin(), reported.end(), is_before))
+        std::sort(reported.begin(), reported.end(), is_before);
+    auto const is_reported = [&](run_id const& run) {
+        return std::binary_search(
+            reported.begin(), reported.end(), &run, is_before);
+    };
     std::vector<run_id> missing;
     for (auto const& [run, placed] : worker.runs) {
-        if (placed.order <= report.last_order && !reported.contains(run))
+        if (placed.order <= report.last_order && !is_reported(run))
             missing.push_back(run);
     }
     for (auto const& run : missing)
         end_run(worker, run, run_end::lost, {}, now);
     std::erase_if(worker.unknown_runs, [&](run_id const& run) {
-        return !reported.contains(run);
+        return !is_reported(run);
     });
 }
 
@@ -394,7 +420,7 @@
         stop_unknown_run(worker, reported);
         return;
     }
-    auto& placed = worker.runs.at(run);
+    auto& placed = *worker.runs.find(run);
     placed.percent = reported.percent;
     if (!placed.reported_at)
         placed.reported_at = now;
@@ -462,8 +488,10 @@
 {
     worker.unknown_runs.erase(run);
     worker.progress.forget(run);
-    if (worker.runs.erase(run) == 0)
+    if (!worker.runs.erase(run))
         return;
+    workers_.forget_run(run);
+    workers_.on_changed(worker);
     auto* const job = find_job(run.task.job);
     invariant(job != nullptr, "a placed run belongs to a known job");
     if (job == nullptr)
@@ -480,6 +508,7 @@
     if (is_final(job->progress.phase())) {
         if (!was_final)
             emit_job_end(*job);
+        waiting_.erase_job(position_of(*job, run.task));
         stop_live_runs(*job);
         return;
     }
@@ -527,7 +556,9 @@
             return;
         worker.ended_through = number;
         worker.ends.erase(worker.ends.begin());
+        updated_workers_.insert(worker.id);
     }
+    workers_with_ends_.erase(worker.id);
 }
 
 std::vector<worker_id> graph_scheduler::unrecorded_workers() const
@@ -542,7 +573,9 @@
 
 void graph_scheduler::on_worker_recorded(worker_id const& worker)
 {
-    workers_.at(worker).is_recorded = true;
+    auto& recorded = workers_.at(worker);
+    recorded.is_recorded = true;
+    workers_.on_changed(recorded);
 }
 
 runner_reply
@@ -553,6 +586,7 @@
         worker.runs_expire_at =
             now + stretched(limits_.lease_time, limits_.clock_drift) +
             limits_.lapse_margin;
+    workers_.on_lease_extended(worker, now);
     worker.acknowledged_through = worker.ended_through;
     worker.sent_through = worker.next_order - 1;
     worker.has_new_token = false;
@@ -576,13 +610,30 @@
             number_of(worker->orders.back()) > worker->sent_through);
 }
 
-void graph_scheduler::plan(
+std::set<worker_id> graph_scheduler::take_updated_workers()
+{
+    return std::exchange(updated_workers_, {});
+}
+
+bool graph_scheduler::plan(
     monotonic_time now, std::chrono::milliseconds time_of_day)
 {
-    expire_silent_workers(now);
+    bool const is_housekeeping_due = now >= housekeeping_due_;
+    if (is_housekeeping_due)
+        keep_house(now);
     open_occurrences(time_of_day);
-    place_waiting(now);
-    move_slow_backfill_runs(now);
+    bool const is_whole = place_waiting(
+        {now, workers_.take_changed(now),
+         counts_.ordered + limits_.max_starts_per_pass, is_housekeeping_due});
+    if (is_housekeeping_due)
+        move_slow_backfill_runs(now);
+    return is_whole;
+}
+
+void graph_scheduler::keep_house(monotonic_time now)
+{
+    housekeeping_due_ = now + limits_.housekeeping_interval;
+    expire_silent_workers(now);
 }
 
 void graph_scheduler::expire_silent_workers(monotonic_time now)
@@ -595,6 +646,7 @@
         end_all_runs(worker, now);
         worker.orders.clear();
         worker.is_listed = false;
+        workers_.on_changed(worker);
     }
     forget_silent_workers(now);
 }
@@ -611,8 +663,7 @@
 // is over.
 void graph_scheduler::forget_silent_workers(monotonic_time now)
 {
-    std::erase_if(workers_.all(), [&](auto const& entry) {
-        auto const& worker = entry.second;
+    workers_.erase_if([&](registered_worker const& worker) {
         bool const is_silent =
             now - worker.last_report_at >= limits_.lease_time;
         if (!is_silent || !has_lapsed(worker, now))
@@ -641,36 +692,110 @@
         scheduled_jobs_.erase(id);
 }
 
-void graph_scheduler::place_waiting(monotonic_time now)
+// A step that no worker could take is tried again only on workers that have
+// changed since: on the others nothing has become free.
+bool graph_scheduler::place_waiting(placement_pass const& pass)
 {
-    // If one task of a step fits nowhere, its other tasks don't either.
-    std::set<task_id> full_steps;
-    for (auto next = waiting_.begin(); next != waiting_.end();) {
-        auto const task = next->task;
-        auto* const job = find_job(task.job);
-        if (job == nullptr || !job->progress.is_due(task)) {
-            next = waiting_.erase(next);
-            continue;
-        }
-        task_id const step{task.job, task.occurrence, task.step, 0};
-        bool const must_wait =
-            !job->is_accepted_this_term && !unsettled_workers_.empty();
-        if (must_wait || full_steps.contains(step)) {
-            ++next;
+    auto const is_over = [&] {
+        return counts_.ordered >= pass.last_start;
+    };
+    for (auto next = waiting_.begin(); next != waiting_.end() && !is_over();) {
+        place_step(next, pass);
+        next = next->second.tasks.empty() ? waiting_.erase_step(next) : ++next;
+    }
+    if (!is_over())
+        return true;
+    // The steps that were not reached are still to be tried on them.
+    for (auto const& id : pass.changed) {
+        if (auto* const worker = workers_.find(id))
+            workers_.on_changed(*worker);
+    }
+    return false;
+}
+
+void graph_scheduler::place_step(
+    waiting_queue::container::iterator step, placement_pass const& pass)
+{
+    bool const is_full = step->second.is_full;
+    if (is_full && pass.changed.empty() && !pass.includes_overdue)
+        return;
+    auto* const job = find_job(step->first.step.job);
+    if (job == nullptr) {
+        step->second.tasks.clear();
+        return;
+    }
+    if (!job->is_accepted_this_term && !unsettled_workers_.empty())
+        return;
+    if (job->progress.step_of(step->first.step).gang) {
+        place_gang_step(step, *job, pass);
+        return;
+    }
+    place_tasks(step, *job, pass);
+}
+
+worker_ranking graph_scheduler::rank_workers(
+    waiting_queue::container::iterator step, job_entry const& job,
+    placement_pass const& pass, bool all)
+{
+    worker_ranking ranking(
+        workers_, query_for(job, step->first.step, pass.now),
+        policy_.closed_domains, pass.now);
+    if (all || (pass.includes_overdue && ranking.query().allows_contention)) {
+        ranking.add_all();
+        return ranking;
+    }
+    for (auto const& id : pass.changed) {
+        if (auto* const worker = workers_.find(id))
+            ranking.add(*worker);
+    }
+    return ranking;
+}
+
+void graph_scheduler::place_tasks(
+    waiting_queue::container::iterator step, job_entry& job,
+    placement_pass const& pass)
+{
+    auto task = step->first.step;
+    std::optional<worker_ranking> ranking;
+    ranking.emplace(rank_workers(step, job, pass, !step->second.is_full));
+    auto const indices = step->second.tasks;
+    for (auto const index : indices) {
+        task.index = index;
+        if (!job.progress.is_due(task)) {
+            waiting_.erase_task(step, index);
             continue;
         }
-        bool const placed = job->progress.step_of(task).gang
-                                ? place_gang(task, *job, now)
-                                : place_task(task, *job, now);
-        if (!placed) {
-            full_steps.insert(step);
-            ++next;
-            continue;
+        if (counts_.ordered >= pass.last_start)
+            return;
+        auto* const worker = ranking->best();
+        if (worker == nullptr) {
+            step->second.is_full = true;
+            return;
         }
-        next = waiting_.erase(next);
+        start_on(*worker, {task, job.progress.begin_run(task)}, job);
+        waiting_.erase_task(step, index);
+        // Only the first task of a job may be placed despite contention.
+        if (ranking->query().allows_contention)
+            ranking.emplace(rank_workers(step, job, pass, true));
+        else
+            ranking->rerank_best();
     }
 }
 
+void graph_scheduler::place_gang_step(
+    waiting_queue::container::iterator step, job_entry& job,
+    placement_pass const& pass)
+{
+    if (step->second.is_full && pass.changed.empty())
+        return;
+    auto task = step->first.step;
+    task.index = *step->second.tasks.begin();
+    if (!job.progress.is_due(task) || place_gang(task, job, pass.now))
+        waiting_.erase_task(step, task.index);
+    else
+        step->second.is_full = true;
+}
+
 void graph_scheduler::update_slowed_since(
     placed_run& placed, std::uint32_t pace, monotonic_time now) const
 {
@@ -683,22 +808,30 @@
 void graph_scheduler::move_slow_backfill_runs(monotonic_time now)
 {
     for (auto& [id, worker] : workers_.all()) {
-        for (auto const& [run, placed] : worker.runs) {
-            if (!placed.slowed_since || placed.is_stopping ||
-                now - *placed.slowed_since < limits_.slow_pace_timeout)
-                continue;
-            auto const& job = *find_job(run.task.job);
-            auto const& step = job.progress.step_of(run.task);
-            if (!step.saves_progress || step.gang)
-                continue;
-            auto const query = query_for(job, run.task, now);
-            if (workers_.choose_alternative(
-                    query, id, policy_.closed_domains, now) == nullptr)
-                continue;
-            order_stop(worker, run);
-            break;
-        }
+        if (worker.runs.backfill_millicores() > 0)
+            move_slow_run(worker, now);
+    }
+}
+
+bool graph_scheduler::move_slow_run(
+    registered_worker& worker, monotonic_time now)
+{
+    for (auto const& [run, placed] : worker.runs) {
+        if (!placed.slowed_since || placed.is_stopping ||
+            now - *placed.slowed_since < limits_.slow_pace_timeout)
+            continue;
+        auto const& job = *find_job(run.task.job);
+        auto const& step = job.progress.step_of(run.task);
+        if (!step.saves_progress || step.gang)
+            continue;
+        auto const query = query_for(job, run.task, now);
+        if (workers_.choose_alternative(
+                query, worker.id, policy_.closed_domains, now) == nullptr)
+            continue;
+        order_stop(worker, run);
+        return true;
     }
+    return false;
 }
 
 placement_query graph_scheduler::query_for(
@@ -736,17 +869,6 @@
     return placed;
 }
 
-bool graph_scheduler::place_task(
-    task_id const& task, job_entry& job, monotonic_time now)
-{
-    auto* const worker =
-        workers_.choose(query_for(job, task, now), policy_.closed_domains, now);
-    if (worker == nullptr)
-        return false;
-    start_on(*worker, {task, job.progress.begin_run(task)}, job);
-    return true;
-}
-
 bool graph_scheduler::place_gang(
     task_id const& any, job_entry& job, monotonic_time now)
 {
@@ -762,7 +884,8 @@
             break;
         task_id member = any;
         member.index = index;
-        worker->runs[{member, 0}] = placement_of(job, member);
+        worker->runs.insert({member, 0}, placement_of(job, member));
+        workers_.on_loaded(*worker);
         chosen.push_back(worker);
         if (job.progress.step_of(any).same_rack &&
             !worker->facts.labels.empty())
@@ -774,6 +897,7 @@
         task_id member = any;
         member.index = index;
         chosen[index]->runs.erase({member, 0});
+        workers_.on_loaded(*chosen[index]);
         if (is_whole)
             start_on(*chosen[index], {member, number}, job);
     }
@@ -794,6 +918,8 @@
     worker.order_start(
         run, job.progress.graph().payload, job.progress.checkpoint_of(run.task),
         placed, std::move(hints));
+    workers_.on_loaded(worker);
+    updated_workers_.insert(worker.id);
 }
 
 std::vector<progress_record> graph_scheduler::take_records(std::size_t most)
@@ -825,8 +951,11 @@
     job->recorded_version = std::max(job->recorded_version, version);
     if (job->progress.version() > job->recorded_version)
         mark_changed(id);
-    for (auto& [worker_name, worker] : workers_.all())
-        advance_acknowledgements(worker);
+    auto const waiting = workers_with_ends_;
+    for (auto const& worker : waiting) {
+        if (auto* const found = workers_.find(worker))
+            advance_acknowledgements(*found);
+    }
 }
 
 void graph_scheduler::on_not_recorded(job_id const& job)
@@ -873,14 +1002,6 @@
     return std::exchange(events_, {});
 }
 
-std::map<std::int32_t, std::size_t> graph_scheduler::waiting_by_priority() const
-{
-    std::map<std::int32_t, std::size_t> counts;
-    for (auto const& each : waiting_)
-        ++counts[each.priority];
-    return counts;
-}
-
 std::size_t graph_scheduler::runs_of_ended_jobs() const
 {
     std::size_t count = 0;
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -6,6 +6,8 @@
 #include "libsycamorespar/clock.hpp"
 #include "libsycamorespar/graph_progress.hpp"
 #include "libsycamorespar/runner_messages.hpp"
+#include "libsycamorespar/waiting_queue.hpp"
+#include "libsycamorespar/worker_ranking.hpp"
 #include "libsycamorespar/worker_registry.hpp"
 
 #include <chrono>
@@ -75,6 +77,12 @@
     /// A run that has been slow for this long is moved to a worker that
     /// tolerates it, if its task saves progress.
     std::chrono::milliseconds slow_pace_timeout{400};
+    /// Starts that one pass orders at the most; the next pass goes on, after
+    /// what has arrived meanwhile.
+    std::uint64_t max_starts_per_pass = 128;
+    /// Interval of what doesn't follow from a report: lapsed leases, moves, and
+    /// backfill tasks that have waited too long.
+    std::chrono::milliseconds housekeeping_interval{50};
     /// Cooldown of a worker on which a task has stalled.
     std::chrono::milliseconds stall_cooldown{2000};
     /// First cooldown of a worker that has refused a start, for example for
@@ -188,11 +196,15 @@
     reply_to(worker_id const& worker, monotonic_time now, bool extends);
     /// True if a reply would do more than extend the lease.
     bool has_updates(worker_id const& worker) const;
+    /// Moves out the workers for which a reply may do more than extend the
+    /// lease; has_updates() tells for which it still does.
+    std::set<worker_id> take_updated_workers();
 
     /// Ends the runs of workers whose lease has lapsed, opens due occurrences,
     /// and places or moves tasks.
     /// \param time_of_day  since 1970.
-    void plan(monotonic_time now, std::chrono::milliseconds time_of_day);
+    /// \return false if the pass ended early, and another one is due.
+    bool plan(monotonic_time now, std::chrono::milliseconds time_of_day);
 
     /// Moves out the progress to write, oldest change first, each job once.
     std::vector<progress_record> take_records(std::size_t most);
@@ -219,7 +231,10 @@
     /// The counters of this term.
     schedule_counts const& counts() const { return counts_; }
     /// The number of tasks that wait for a worker, by priority of their queue.
-    std::map<std::int32_t, std::size_t> waiting_by_priority() const;
+    std::map<std::int32_t, std::size_t> waiting_by_priority() const
+    {
+        return waiting_.size_by_priority();
+    }
     /// True once every worker on which an earlier scheduler may have started
     /// runs has reported, has left, or has had its lease lapse.
     bool is_settled() const { return unsettled_workers_.empty(); }
@@ -236,18 +251,22 @@
         std::map<run_id, worker_id> live_runs;
         monotonic_time idle_since{};
     };
-    struct waiting_task
+    /// What one pass of placement knows.
+    struct placement_pass
     {
-        std::int32_t priority = 0;
-        bool is_short_lived = true;
-        duration virtual_finish{0};
-        task_id task;
-        auto operator<=>(waiting_task const&) const = default;
+        monotonic_time now;
+        /// The workers that have changed since the last pass.
+        std::vector<worker_id> changed;
+        /// The number of runs ordered when the pass is to end.
+        std::uint64_t last_start = 0;
+        /// Backfill tasks that have waited too long are placed in this pass.
+        bool includes_overdue = false;
     };
 
     job_entry* find_job(job_id const& job);
     job_entry const* find_job(job_id const& job) const;
-    waiting_task queue_entry(job_entry const& job, task_id const& id) const;
+    waiting_position
+    position_of(job_entry const& job, task_id const& task) const;
     void enqueue(job_entry const& job, std::vector<task_id> const& due);
     void order_stop(registered_worker& worker, run_id const& run);
     void stop_live_runs(job_entry const& job);
@@ -258,6 +277,9 @@
         registered_worker& worker, run_id const& run, run_end how,
         std::string const& checkpoint, monotonic_time now);
     void end_all_runs(registered_worker& worker, monotonic_time now);
+    void process_report(
+        registered_worker& worker, runner_report const& report,
+        monotonic_time now);
     void process_ends(
         registered_worker& worker, runner_report const& report,
         monotonic_time now);
@@ -293,11 +315,23 @@
         registered_worker& worker, runner_report const& report,
         monotonic_time now);
     void open_occurrences(std::chrono::milliseconds time_of_day);
-    void place_waiting(monotonic_time now);
+    void keep_house(monotonic_time now);
+    bool place_waiting(placement_pass const& pass);
+    void place_step(
+        waiting_queue::container::iterator step, placement_pass const& pass);
+    void place_gang_step(
+        waiting_queue::container::iterator step, job_entry& job,
+        placement_pass const& pass);
+    void place_tasks(
+        waiting_queue::container::iterator step, job_entry& job,
+        placement_pass const& pass);
+    worker_ranking rank_workers(
+        waiting_queue::container::iterator step, job_entry const& job,
+        placement_pass const& pass, bool all);
     void move_slow_backfill_runs(monotonic_time now);
+    bool move_slow_run(registered_worker& worker, monotonic_time now);
     void update_slowed_since(
         placed_run& placed, std::uint32_t pace, monotonic_time now) const;
-    bool place_task(task_id const& task, job_entry& job, monotonic_time now);
     bool place_gang(task_id const& any, job_entry& job, monotonic_time now);
     placement_query query_for(
         job_entry const& job, task_id const& task, monotonic_time now) const;
@@ -313,10 +347,15 @@
     std::vector<worker_id> forgotten_workers_;
     monotonic_time settled_at_;
     std::map<job_id, job_entry> jobs_;
-    std::set<waiting_task> waiting_;
+    waiting_queue waiting_;
     std::vector<job_id> write_queue_;
     std::set<job_id> unwritten_;
     std::set<job_id> scheduled_jobs_;
+    /// Workers with ends that are not acknowledged.
+    std::set<worker_id> workers_with_ends_;
+    /// Workers for which a reply may do more than extend the lease.
+    std::set<worker_id> updated_workers_;
+    monotonic_time housekeeping_due_{};
     std::uint64_t session_count_ = 0;
     std::vector<scheduling_event> events_;
     schedule_counts counts_;
--- /dev/null
+++ b/src/libsycamorespar/placement_query.cpp
@@ -0,0 +1,181 @@
+/// Free capacity is the announced capacity less the reservations of all runs
+/// that have not been reported as ended. A run that is being stopped still
+/// counts, since it uses its resources until it ends.
+#include "libsycamorespar/placement_query.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sycamorespar {
+
+namespace {
+
+/// Score for a worker on the preferred rack, in the unit of the free part of a
+/// worker's processors.
+constexpr double rack_bonus = 1.0;
+
+/// Expected part of the backfill work that a worker can still run with one more
+/// serving image on it. Counted by image, not by task: a backfill task that
+/// slows one task of an image slows all of them.
+constexpr double share_left_per_image = 0.35;
+
+/// Breaks ties between workers that lose the same capacity for backfill tasks:
+/// prefers the worker with less free capacity.
+constexpr double packing_weight = 0.05;
+
+/// Standard deviations that are added to an estimate of contention. Estimates
+/// are pessimistic because a badly placed backfill task costs its neighbours
+/// and itself, while a short wait costs little.
+constexpr double deviation_weight = 1.0;
+
+/// Upper bound of the headroom: more than this is no better in the score.
+constexpr double max_headroom = 3.0;
+
+/// Avoids division by zero on a worker without idle processors.
+constexpr double min_idle_share = 0.001;
+
+/// A backfill task that adds less than this to a load is always accepted.
+constexpr double negligible_load = 0.015;
+
+/// Large enough that a slow worker is only chosen if no other has capacity.
+constexpr double slow_worker_penalty = 10.0;
+
+/// Assumed part of the reserved processors that tasks use.
+constexpr double usual_utilization = 0.6;
+
+double share_of(registered_worker const& worker, std::int64_t millicores)
+{
+    auto const whole =
+        std::max(worker.facts.capacity.millicores, std::int64_t{1});
+    return static_cast<double>(millicores) / static_cast<double>(whole);
+}
+
+/// The part of the idle processors that backfill tasks would use with one more.
+double
+idle_utilization(registered_worker const& worker, placement_query const& query)
+{
+    auto const idle =
+        1.0 -
+        usual_utilization * share_of(worker, worker.runs.reserved().millicores);
+    auto const wanted = share_of(
+        worker, worker.runs.backfill_millicores() + query.backfill_millicores);
+    return wanted / std::max(idle, min_idle_share);
+}
+
+/// Expected capacity for backfill tasks, in millicores, of a worker with this
+/// many serving images.
+double backfill_capacity(
+    registered_worker const& worker, std::size_t images, std::int64_t reserved)
+{
+    auto const idle = static_cast<double>(worker.facts.capacity.millicores) -
+                      usual_utilization * static_cast<double>(reserved);
+    return idle * std::pow(share_left_per_image, static_cast<double>(images));
+}
+
+/// The capacity for backfill tasks that a serving task would take away, as a
+/// multiple of what the task reserves.
+double
+backfill_loss(registered_worker const& worker, placement_query const& query)
+{
+    auto const images = worker.runs.serving_images();
+    auto const added = worker.runs.serves_image(query.image) ? 0U : 1U;
+    auto const reserved = worker.runs.reserved().millicores;
+    auto const before = backfill_capacity(worker, images, reserved);
+    auto const after = backfill_capacity(
+        worker, images + added, reserved + query.need.millicores);
+    auto const need = std::max(query.need.millicores, std::int64_t{1});
+    return (before - after) / static_cast<double>(need);
+}
+
+double free_part(registered_worker const& worker)
+{
+    auto const& capacity = worker.facts.capacity;
+    if (capacity.millicores <= 0)
+        return 0.0;
+    auto const free = capacity.millicores - worker.runs.reserved().millicores;
+    return static_cast<double>(free) / static_cast<double>(capacity.millicores);
+}
+
+} // namespace
+
+placement_scorer::placement_scorer(
+    placement_query query, contention_model const& contention,
+    std::set<failure_domain_id> const& closed_domains, monotonic_time now)
+    : query_(std::move(query)), contention_(contention),
+      closed_domains_(closed_domains), now_(now)
+{}
+
+bool placement_scorer::may_take_work(registered_worker const& worker) const
+{
+    return worker.is_listed && worker.is_reachable && worker.is_recorded &&
+           worker.unknown_runs.empty() &&
+           now_ + min_time_to_expiry < worker.runs_expire_at &&
+           now_ >= worker.cooldown_until && !worker.facts.is_draining &&
+           worker.facts.pool == query_.pool &&
+           !closed_domains_.contains(worker.facts.domain) &&
+           !query_.excluded.contains(worker.id);
+}
+
+bool placement_scorer::meets_requirements(registered_worker const& worker) const
+{
+    if (!fits(query_.need, worker.facts.capacity - worker.runs.reserved()))
+        return false;
+    if (!query_.required_label.empty() &&
+        !worker.has_label(query_.required_label))
+        return false;
+    return query_.max_per_worker == 0 ||
+           worker.runs.runs_of_step(query_.step) < query_.max_per_worker;
+}
+
+std::optional<double> placement_scorer::score(registered_worker const& worker)
+{
+    if (!may_take_work(worker) || !meets_requirements(worker))
+        return std::nullopt;
+    double total = free_part(worker);
+    if (query_.fills) {
+        auto const headroom = contention_headroom(worker);
+        auto const utilization = idle_utilization(worker, query_);
+        if (!query_.allows_contention && (headroom < 1.0 || utilization > 1.0))
+            return std::nullopt;
+        total = headroom - utilization;
+    } else if (query_.serves) {
+        total =
+            -backfill_loss(worker, query_) - packing_weight * free_part(worker);
+    }
+    if (!query_.preferred_rack.value.empty() &&
+        worker.has_label(query_.preferred_rack.value))
+        total += rack_bonus;
+    if (worker.progress.is_slow(now_))
+        total -= slow_worker_penalty;
+    return total;
+}
+
+double placement_scorer::added_load(std::string const& image)
+{
+    for (auto const& [known, load] : added_loads_) {
+        if (known == image)
+            return load;
+    }
+    auto const pair = contention_.pair(image, query_.image);
+    auto const load = pair.mean + deviation_weight * std::sqrt(pair.variance);
+    added_loads_.emplace_back(image, load);
+    return load;
+}
+
+// The part of its full speed at which the backfill task could run without
+// pushing any serving task over its planned tail latency, given the backfill
+// tasks that already run there. Above 1 it can run at full speed.
+double placement_scorer::contention_headroom(registered_worker const& worker)
+{
+    double least = max_headroom;
+    for (auto const& serving : *worker.headroom) {
+        auto const added = added_load(serving.image) *
+                           share_of(worker, query_.backfill_millicores);
+        if (added >= negligible_load)
+            least = std::min(least, serving.left / added);
+    }
+    return least;
+}
+
+} // namespace sycamorespar
--- a/src/spar-scheduler/runner_api.cpp
+++ b/src/spar-scheduler/runner_api.cpp
@@ -109,13 +109,10 @@
     auto* const term = callbacks_.term();
     if (term == nullptr)
         return;
-    std::vector<worker_id> ready;
-    for (auto const& [worker, waiting] : waiting_) {
+    for (auto const& worker : term->scheduler()->take_updated_workers()) {
         if (term->scheduler()->has_updates(worker))
-            ready.push_back(worker);
+            answer(worker);
     }
-    for (auto const& worker : ready)
-        answer(worker);
 }
 
 void runner_api::refuse_all()
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -309,7 +309,8 @@
     is_plan_due_ = false;
     if (!is_ready())
         return;
-    scheduler_->plan(event_loop::now(), steady_time_of_day());
+    if (!scheduler_->plan(event_loop::now(), steady_time_of_day()))
+        plan_soon();
     if (scheduler_->is_settled() && !std::exchange(is_settled_, true))
         log_event(log_level::info, "workers_settled", {{"term", term_.value}});
     log_events();
