Find a new leader sooner, and list a worker's runs to it at once

After the closing loss of power the leader gained its term at 35.81 s; the runners, up since 35.3 to 35.5 s, reported to it at 36.4 to 36.6 s and the last had listed its runs at 36.98 s. They had followed the last leader's address to a machine that was still off, and waited 0.9 s for an answer; then a long poll under the old token held up the list under the new one for up to 0.4 s. When the store turned the leader away at 16.5 s, its lease ended at 18.1 s, and its runners asked for a successor only when it could extend no more: settled at 19.23 s.

Ruled out: the election itself (one round trip, 10 to 30 ms) and the reading of records (25 ms).

The authority to extend runs' leases stays 2 s and the successor's wait for silent workers is unchanged, so nothing rests on a smaller margin.

Test: a machine that accepts no connection (fails on the code before, where the call takes its whole timeout).

--- a/src/common/http_client.cpp
+++ b/src/common/http_client.cpp
@@ -14,6 +14,7 @@
 #include <event2/util.h>
 #include <netinet/in.h>
 #include <string_view>
+#include <sys/socket.h>
 #include <utility>
 
 namespace sycamorespar {
@@ -136,6 +137,7 @@
     evhttp_request_error failure_code = EVREQ_HTTP_EOF;
     std::uint64_t call_number = 0;
     event_id deadline = 0;
+    event_id connect_deadline = 0;
     monotonic_time begun_at{};
     std::size_t received = 0;
     std::size_t unsent = 0;
@@ -207,9 +209,22 @@
         return response;
     }
 
+    bool is_connected() const
+    {
+        auto* stream = evhttp_connection_get_bufferevent(handle);
+        sockaddr_storage peer{};
+        socklen_t length = sizeof peer;
+        auto const descriptor = bufferevent_getfd(stream);
+        return descriptor >= 0 &&
+               getpeername(
+                   descriptor, reinterpret_cast<sockaddr*>(&peer), &length) ==
+                   0;
+    }
+
     callback end_call()
     {
         owner->loop_.cancel(deadline);
+        owner->loop_.cancel(connect_deadline);
         busy = false;
         return std::exchange(on_result, nullptr);
     }
@@ -241,8 +256,10 @@
 {
     for (auto const& each : waiting_)
         loop_.cancel(each->deadline);
-    for (auto const& each : connections_)
+    for (auto const& each : connections_) {
         loop_.cancel(each->deadline);
+        loop_.cancel(each->connect_deadline);
+    }
 }
 
 std::size_t http_client::in_flight() const
@@ -318,21 +335,53 @@
             "http.queue", peer, "no connection in time", outcome::not_run});
         return;
     }
-    auto const sent = std::find_if(
+    auto* const sent = find_call(call_number);
+    if (sent != nullptr && !extend_deadline(*sent))
+        fail_sent(
+            *sent,
+            {"http.call", peer, "no whole answer in time", outcome::unknown});
+}
+
+http_client::connection* http_client::find_call(std::uint64_t call_number)
+{
+    auto const found = std::find_if(
         connections_.begin(), connections_.end(), [&](auto const& each) {
             return each->busy && each->call_number == call_number;
         });
-    if (sent == connections_.end() || extend_deadline(**sent))
-        return;
-    (*sent)->close();
-    auto const on_result = (*sent)->end_call();
+    return found == connections_.end() ? nullptr : found->get();
+}
+
+void http_client::fail_sent(connection& chosen, error why)
+{
+    chosen.close();
+    auto const on_result = chosen.end_call();
     std::weak_ptr<bool> const guard = alive_;
-    on_result(
-        error{"http.call", peer, "no whole answer in time", outcome::unknown});
+    on_result(std::move(why));
     if (!guard.expired())
         start_waiting();
 }
 
+// evhttp writes a request only once its connection is established, so that a
+// call which is given up before was certainly not sent.
+void http_client::on_connect_deadline(std::uint64_t call_number)
+{
+    auto* const sent = find_call(call_number);
+    if (sent == nullptr || sent->is_connected())
+        return;
+    fail_sent(
+        *sent, {"http.connect", to_string(where_), "no connection in time",
+                outcome::not_run});
+}
+
+void http_client::watch_connecting(connection& chosen)
+{
+    if (limits_.connect_timeout.count() == 0)
+        return;
+    chosen.connect_deadline = loop_.after(
+        limits_.connect_timeout,
+        [this, number = chosen.call_number] { on_connect_deadline(number); });
+}
+
 bool http_client::extend_deadline(connection& of)
 {
     auto const spent = event_loop::now() - of.begun_at;
@@ -397,11 +446,14 @@
 {
     if (chosen.unusable)
         chosen.close();
-    if (chosen.handle == nullptr)
+    bool const is_new = chosen.handle == nullptr;
+    if (is_new)
         open(chosen);
     chosen.busy = true;
     chosen.failed_after_connect = false;
     chosen.call_number = next.number;
+    if (is_new)
+        watch_connecting(chosen);
     chosen.deadline = next.deadline;
     chosen.begun_at = next.begun_at;
     chosen.received = 0;
--- a/src/common/http_client.hpp
+++ b/src/common/http_client.hpp
@@ -36,6 +36,10 @@
     /// How long an idle connection is kept; zero means as long as the timeout.
     /// If set, the timeout limits the total time of a call instead.
     std::chrono::milliseconds idle{0};
+    /// A call that needs a new connection fails as not_run if there is none
+    /// after this time; zero leaves it to the timeout. A machine without power
+    /// answers no attempt to connect.
+    std::chrono::milliseconds connect_timeout{0};
     /// If longer than the timeout, a call whose bytes still move at its timeout
     /// goes on, up to this time in total: over a slow link, a large message
     /// takes long.
@@ -73,6 +77,10 @@
     void fail_later(callback on_result, error why);
     void on_deadline(std::uint64_t call_number);
     bool extend_deadline(connection& of);
+    void watch_connecting(connection& chosen);
+    void on_connect_deadline(std::uint64_t call_number);
+    void fail_sent(connection& chosen, error why);
+    connection* find_call(std::uint64_t call_number);
     connection* find_connection();
     void open(connection& chosen);
     void start(connection& chosen, pending next);
--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -596,7 +596,8 @@
         extends,
         worker.facts.incarnation,
         worker.ended_through,
-        worker.orders};
+        worker.orders,
+        false};
 }
 
 bool graph_scheduler::has_updates(worker_id const& id) const
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -73,6 +73,8 @@
     std::uint64_t ended_through = 0;
     /// The token to send.
     std::uint64_t token = 0;
+    /// The worker may wait with its answer until a run ends.
+    bool may_wait = true;
 };
 
 /// The result of a call to the worker.
@@ -192,6 +194,9 @@
     /// True if the worker has seen a higher token, so that a new one must be
     /// requested.
     bool needs_new_token() const { return token_refused_; }
+    /// True if the worker's runs were not listed under the current token yet;
+    /// the scheduler starts nothing there before.
+    bool needs_listing() const { return may_call() && !is_listed_; }
     /// Begins a new session with the scheduler, which assigns a new token.
     void begin_session(incarnation runner);
 
--- a/src/libsycamorespar/runner_messages.hpp
+++ b/src/libsycamorespar/runner_messages.hpp
@@ -232,6 +232,8 @@
     std::uint64_t ended_through = 0;
     /// All orders that no report has confirmed.
     std::vector<runner_order> orders;
+    /// The scheduler has lost the store, and may soon have a successor.
+    bool is_isolated = false;
 
     bool operator==(runner_reply const&) const = default;
 };
--- a/src/runners/runner_codec.cpp
+++ b/src/runners/runner_codec.cpp
@@ -339,6 +339,9 @@
     reply.incarnation = read_incarnation(from.at(3));
     reply.ended_through = from.number<std::uint64_t>(4);
     reply.orders = read_all<runner_order>(from.at(5), &read_order);
+    // Schedulers of an earlier build don't say whether they are isolated.
+    constexpr std::size_t isolated = 6;
+    reply.is_isolated = from.size() > isolated && from.flag(isolated);
     return reply;
 }
 
@@ -397,7 +400,7 @@
 {
     msgpack::sbuffer bytes;
     packer to(bytes);
-    to.pack_array(6);
+    to.pack_array(7);
     to.pack(reply.term.value);
     to.pack(reply.token);
     to.pack(reply.extends);
@@ -406,6 +409,7 @@
     write_all(to, reply.orders, [](packer& into, runner_order const& order) {
         std::visit([&](auto const& each) { write_order(into, each); }, order);
     });
+    to.pack(reply.is_isolated);
     return text_of(bytes);
 }
 
--- a/src/spar-runner/report_sender.cpp
+++ b/src/spar-runner/report_sender.cpp
@@ -20,6 +20,10 @@
 /// One report waits for orders, a second one can carry changes meanwhile.
 constexpr std::uint32_t max_open_reports = 2;
 
+/// A scheduler that doesn't accept a connection in this time may have lost
+/// power; the store then soon names its successor.
+constexpr std::chrono::milliseconds connect_timeout{250};
+
 /// A report whose bytes keep moving may take this many timeouts.
 constexpr int longest_in_timeouts = 3;
 
@@ -31,6 +35,7 @@
     http_client_limits limits;
     limits.timeout = timeout;
     limits.idle = keep_alive_time;
+    limits.connect_timeout = connect_timeout;
     limits.longest = timeout * longest_in_timeouts;
     limits.max_connections = max_open_reports;
     return limits;
@@ -118,7 +123,7 @@
     }
     ++answered_;
     pause_ = limits_.retry;
-    if (!value(reply).extends)
+    if (!value(reply).extends || value(reply).is_isolated)
         find_successor();
     on_orders_();
     wake();
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -132,9 +132,31 @@
 {
     send_starts();
     send_stops();
+    list_runs();
     poll();
 }
 
+// The poll that is open was sent under the old token, and may wait long for its
+// answer.
+void runner_daemon::list_runs()
+{
+    if (!is_polling_ || !tracker_.needs_listing() ||
+        std::exchange(listed_token_, tracker_.token()) == tracker_.token())
+        return;
+    auto call = tracker_.next_poll();
+    call.may_wait = false;
+    worker_.poll(
+        tracker_.facts().incarnation, call,
+        [this, call](platform::poll_answer const& answer) {
+            ++(answer.listing ? counts_.polls : counts_.failed_polls);
+            if (answer.listing)
+                tracker_.on_listing(*answer.listing, call, event_loop::now());
+            else
+                handle_token_result(answer.result, call.token);
+            report_sender_.wake();
+        });
+}
+
 void runner_daemon::handle_token_result(
     call_outcome result, std::uint64_t token)
 {
--- a/src/spar-runner/runner_daemon.hpp
+++ b/src/spar-runner/runner_daemon.hpp
@@ -34,6 +34,7 @@
     void call_worker();
     void send_starts();
     void send_stops();
+    void list_runs();
     void poll();
     void poll_again();
     void handle_poll_answer(
@@ -55,6 +56,8 @@
     metrics_endpoint metrics_;
     runner_counts counts_;
     bool is_polling_ = false;
+    /// The token under which the runs were last listed without waiting.
+    std::uint64_t listed_token_ = 0;
 };
 
 } // namespace sycamorespar
--- a/src/spar-scheduler/caller_api.cpp
+++ b/src/spar-scheduler/caller_api.cpp
@@ -28,6 +28,7 @@
 constexpr char const* store_lost = "store_lost";
 constexpr char const* store_refused = "store_refused";
 constexpr char const* no_leader = "no_holder";
+constexpr char const* outdated_view = "outdated_view";
 
 http_client_limits peer_limits(std::chrono::milliseconds timeout)
 {
@@ -261,9 +262,10 @@
 void caller_api::respond_pending(exchange_id exchange, queue_id const& queue)
 {
     if (auto const* const term = callbacks_.term()) {
-        server_.respond(
-            exchange,
-            platform::pending_answer(term->scheduler()->pending(queue)));
+        if (auto const count = term->pending(queue))
+            server_.respond(exchange, platform::pending_answer(*count));
+        else
+            refuse(exchange, outdated_view);
         return;
     }
     query_leader(exchange, queue);
--- a/src/spar-scheduler/runner_api.cpp
+++ b/src/spar-scheduler/runner_api.cpp
@@ -15,6 +15,7 @@
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
 constexpr int status_misdirected = 421;
+constexpr int status_unavailable = 503;
 
 http_server_limits server_limits()
 {
@@ -97,8 +98,9 @@
         refuse(waiting.exchange);
         return;
     }
-    auto const reply = term->scheduler()->reply_to(
+    auto reply = term->scheduler()->reply_to(
         worker, event_loop::now(), callbacks_.has_authority());
+    reply.is_isolated = callbacks_.is_isolated();
     server_.respond(
         waiting.exchange,
         {200, {{"Content-Type", "application/msgpack"}}, write_reply(reply)});
@@ -132,8 +134,10 @@
         return;
     }
     queue_id const queue{query_parameter(target, "queue")};
+    auto const count = term->pending(queue);
     server_.respond(
-        exchange, {200, {}, std::to_string(term->scheduler()->pending(queue))});
+        exchange, count ? http_response{200, {}, std::to_string(*count)}
+                        : http_response{status_unavailable, {}, {}});
 }
 
 } // namespace sycamorespar
--- a/src/spar-scheduler/runner_api.hpp
+++ b/src/spar-scheduler/runner_api.hpp
@@ -40,6 +40,8 @@
         std::function<std::optional<leader_info>()> leader;
         /// True where this process may extend runs' leases.
         std::function<bool()> has_authority;
+        /// True if the store doesn't answer this process.
+        std::function<bool()> is_isolated;
     };
 
     runner_api(
--- a/src/spar-scheduler/scheduler_daemon.cpp
+++ b/src/spar-scheduler/scheduler_daemon.cpp
@@ -40,8 +40,9 @@
       runner_api_(
           loop_, {[this] { return ready_term(); },
                   [this] { return election_->leader(); },
+                  [this] { return election_->has_authority(); },
                   [this] {
-                      return election_->has_authority();
+                      return watched_store_.is_lost();
                   }}),
       caller_api_(
           loop_, store_, configuration_,
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -19,6 +19,10 @@
 /// Delay before another attempt to read the records.
 constexpr milliseconds read_retry_pause{100};
 
+/// A view of the jobs that is older than this is not stated to callers. In
+/// quiet times the watch alone lets it grow to two of its waits.
+constexpr milliseconds max_view_age{2500};
+
 /// The time of day at the first call, advanced by a monotonic clock, so that
 /// schedules don't follow adjustments of the system clock.
 milliseconds steady_time_of_day()
@@ -243,6 +247,16 @@
     plan_soon();
 }
 
+std::optional<std::size_t> scheduling_term::pending(queue_id const& queue) const
+{
+    bool const is_current =
+        is_ready() &&
+        event_loop::now() - jobs_->complete_until() < max_view_age;
+    if (!is_current)
+        return std::nullopt;
+    return scheduler_->pending(queue);
+}
+
 void scheduling_term::set_policy(schedule_policy policy)
 {
     policy_ = std::move(policy);
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -49,6 +49,9 @@
     graph_scheduler const* scheduler() const { return scheduler_.get(); }
     /// The writer of records; null until the records are read.
     record_writer const* writer() const { return writer_.get(); }
+    /// The number of accepted jobs of a queue of which no task has started;
+    /// none if jobs accepted seconds ago may not be known yet.
+    std::optional<std::size_t> pending(queue_id const& queue) const;
     /// Applies a changed configuration.
     void set_policy(schedule_policy policy);
     /// Processes a runner's report.
--- a/src/store/leader_election.hpp
+++ b/src/store/leader_election.hpp
@@ -55,13 +55,15 @@
 struct leader_election_limits
 {
     /// The leader's lease expires this long after its last renewal.
-    std::chrono::milliseconds ttl{2000};
+    std::chrono::milliseconds ttl{1200};
     /// Interval between renewals of the lease.
-    std::chrono::milliseconds renewal{500};
+    std::chrono::milliseconds renewal{300};
     /// Delay before another attempt to become leader.
     std::chrono::milliseconds retry{50};
     /// The leader may extend runs' leases for this long after it sent the
-    /// last renewal that was answered; its successor relies on this bound.
+    /// last renewal that was answered; its successor relies on this bound. It
+    /// may outlast the lease: a leader that the store has lost sight of keeps
+    /// its workers' runs going until the successor has them.
     std::chrono::milliseconds authority{2000};
     /// A process counts as larger if its capacity exceeds the other's by more
     /// than this factor.
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -40,13 +40,15 @@
 void prefix_watch::list()
 {
     std::weak_ptr<bool> const guard = alive_;
-    list_all(store_, prefix_, [this, guard](auto const& listing) {
+    auto const sent_at = event_loop::now();
+    list_all(store_, prefix_, [this, guard, sent_at](auto const& listing) {
         if (!guard.expired())
-            apply_listing(listing);
+            apply_listing(listing, sent_at);
     });
 }
 
-void prefix_watch::apply_listing(result<kv_listing> const& listing)
+void prefix_watch::apply_listing(
+    result<kv_listing> const& listing, monotonic_time sent_at)
 {
     if (!ok(listing)) {
         log_repeated_error("listing_failed", failure(listing));
@@ -63,21 +65,26 @@
          {"revision", revision_}});
     std::weak_ptr<bool> const guard = alive_;
     callbacks_.on_listed(value(listing).items);
-    if (!guard.expired())
-        watch();
+    if (guard.expired())
+        return;
+    complete_until_ = sent_at;
+    watch();
 }
 
 void prefix_watch::watch()
 {
     std::weak_ptr<bool> const guard = alive_;
+    auto const sent_at = event_loop::now();
     store_.watch(
-        prefix_, revision_, limits_.wait, [this, guard](auto const& answer) {
+        prefix_, revision_, limits_.wait,
+        [this, guard, sent_at](auto const& answer) {
             if (!guard.expired())
-                apply_changes(answer);
+                apply_changes(answer, sent_at);
         });
 }
 
-void prefix_watch::apply_changes(result<kv_changes> const& answer)
+void prefix_watch::apply_changes(
+    result<kv_changes> const& answer, monotonic_time sent_at)
 {
     if (!ok(answer)) {
         log_repeated_error("watch_failed", failure(answer));
@@ -99,6 +106,7 @@
             return;
     }
     revision_ = std::max(revision_, value(answer).revision);
+    complete_until_ = sent_at;
     watch();
 }
 
--- a/src/store/prefix_watch.hpp
+++ b/src/store/prefix_watch.hpp
@@ -51,12 +51,17 @@
     bool is_listed() const { return is_listed_; }
     /// The time of the store's last answer.
     monotonic_time last_answer_at() const { return last_answer_at_; }
+    /// All changes up to this time are reported: when the last answered call
+    /// was sent.
+    monotonic_time complete_until() const { return complete_until_; }
 
 private:
     void list();
-    void apply_listing(result<kv_listing> const& listing);
+    void
+    apply_listing(result<kv_listing> const& listing, monotonic_time sent_at);
     void watch();
-    void apply_changes(result<kv_changes> const& answer);
+    void
+    apply_changes(result<kv_changes> const& answer, monotonic_time sent_at);
     void retry(std::function<void()> call);
     void on_answer();
 
@@ -68,6 +73,7 @@
     kv_revision revision_ = 0;
     bool is_listed_ = false;
     monotonic_time last_answer_at_{};
+    monotonic_time complete_until_{};
     std::chrono::milliseconds pause_{0};
     std::shared_ptr<bool> alive_;
 };
--- a/tests/http_traps_test.cpp
+++ b/tests/http_traps_test.cpp
@@ -10,6 +10,9 @@
 #include <netinet/in.h>
 #include <optional>
 #include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
 
 using namespace sycamorespar;
 
@@ -297,6 +300,49 @@
 
 // A listing that takes longer than the timeout over a slow link was thrown away
 // and begun again, for ever: a new leader never read its records.
+// After a loss of power runners followed the last leader, whose machine was
+// still off, and waited for a whole timeout before they looked for another.
+TEST_CASE("a call to a machine that accepts no connection is soon not run")
+{
+    event_loop loop;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int const listener = socket(AF_INET, SOCK_STREAM, 0);
+    auto* const raw = reinterpret_cast<sockaddr*>(&address);
+    REQUIRE(bind(listener, raw, sizeof address) == 0);
+    REQUIRE(listen(listener, 0) == 0);
+    socklen_t length = sizeof address;
+    getsockname(listener, raw, &length);
+    // Once the queue of new connections is full, attempts are not answered.
+    std::vector<int> queued;
+    for (int each = 0; each < 4; ++each) {
+        queued.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(queued.back(), raw, sizeof address);
+    }
+    http_client_limits limits;
+    limits.timeout = std::chrono::milliseconds(19'000);
+    limits.idle = std::chrono::milliseconds(30'000);
+    limits.connect_timeout = std::chrono::milliseconds(50);
+    http_client client(loop, {"127.0.0.1", ntohs(address.sin_port)}, limits);
+    std::optional<result<http_response>> got;
+    auto const bound = loop.after(test_bound, [&] { loop.stop(); });
+    client.call(start, [&](result<http_response> answer) {
+        got = std::move(answer);
+        loop.stop();
+    });
+    auto const begun = event_loop::now();
+    loop.run();
+    loop.cancel(bound);
+    CHECK(event_loop::now() - begun < limits.timeout / 2);
+    REQUIRE(got.has_value());
+    CHECK(effect_of(*got) == outcome::not_run);
+    CHECK(client.in_flight() == 0);
+    for (int const each : queued)
+        close(each);
+    close(listener);
+}
+
 TEST_CASE("an answer that keeps coming over a slow link is read to its end")
 {
     constexpr int body_bytes = 40;
