--- a/tests/http_traps_test.cpp
+++ b/tests/http_traps_test.cpp
@@ -318,7 +318,7 @@
     std::vector<int> queued;
     for (int each = 0; each < 4; ++each) {
         queued.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        connect(queued.back(), raw, sizeof address);
+        static_cast<void>(connect(queued.back(), raw, sizeof address));
     }
     http_client_limits limits;
     limits.timeout = std::chrono::milliseconds(19'000);
