Test until when a watch's view is complete

The test follows a watch while the store is away: its time stands still, and goes on once it is back.

--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -199,6 +199,30 @@
     CHECK(seen.values.contains("op/a"));
 }
 
+// A leader whose watch was late stated that no job waited.
+TEST_CASE("a prefix watch tells until when its view is complete")
+{
+    store_fixture fixture;
+    watched_values seen;
+    prefix_watch_limits limits;
+    limits.wait = 20ms;
+    auto const begun = event_loop::now();
+    prefix_watch const watch(
+        fixture.loop, fixture.store, "job/", seen.observer(), limits);
+    CHECK(watch.complete_until() < begun);
+    REQUIRE(fixture.run_until([&] { return watch.complete_until() >= begun; }));
+    fixture.kv.is_down = true;
+    fixture.run_for(60ms);
+    auto const lost = event_loop::now();
+    fixture.kv.put("job/a", "1");
+    fixture.run_for(100ms);
+    CHECK(watch.complete_until() < lost);
+    CHECK(seen.values.empty());
+    fixture.kv.is_down = false;
+    CHECK(fixture.run_until([&] { return watch.complete_until() >= lost; }));
+    CHECK(seen.values.contains("job/a"));
+}
+
 TEST_CASE("loss and recovery of the store are detected without other calls")
 {
     store_fixture fixture;
