State a worker's usability and share once, and resolve changed workers once

- Whether a worker may take work, a part of its processors, and whether a run serves each stood twice: now members of registered_worker and placed_run.
- The changed workers of a pass were looked up by id for each waiting step: now once a pass.
- end_run() updated the index for each end, though all its callers do so once.
- Dead: the result of move_slow_run(), and the branch for a waiting step of an unknown job, which also miscounted; it is an invariant now.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -491,7 +491,6 @@
     if (!worker.runs.erase(run))
         return;
     workers_.forget_run(run);
-    workers_.on_changed(worker);
     auto* const job = find_job(run.task.job);
     invariant(job != nullptr, "a placed run belongs to a known job");
     if (job == nullptr)
@@ -707,10 +706,8 @@
     if (!is_over())
         return true;
     // The steps that were not reached are still to be tried on them.
-    for (auto const& id : pass.changed) {
-        if (auto* const worker = workers_.find(id))
-            workers_.on_changed(*worker);
-    }
+    for (auto* const worker : pass.changed)
+        workers_.on_changed(*worker);
     return false;
 }
 
@@ -721,10 +718,9 @@
     if (is_full && pass.changed.empty() && !pass.includes_overdue)
         return;
     auto* const job = find_job(step->first.step.job);
-    if (job == nullptr) {
-        step->second.tasks.clear();
+    invariant(job != nullptr, "a waiting step belongs to a known job");
+    if (job == nullptr)
         return;
-    }
     if (!job->is_accepted_this_term && !unsettled_workers_.empty())
         return;
     if (job->progress.step_of(step->first.step).gang) {
@@ -745,10 +741,8 @@
         ranking.add_all();
         return ranking;
     }
-    for (auto const& id : pass.changed) {
-        if (auto* const worker = workers_.find(id))
-            ranking.add(*worker);
-    }
+    for (auto* const worker : pass.changed)
+        ranking.add(*worker);
     return ranking;
 }
 
@@ -757,8 +751,8 @@
     placement_pass const& pass)
 {
     auto task = step->first.step;
-    std::optional<worker_ranking> ranking;
-    ranking.emplace(rank_workers(step, job, pass, !step->second.is_full));
+    std::optional<worker_ranking> ranking(
+        rank_workers(step, job, pass, !step->second.is_full));
     auto const indices = step->second.tasks;
     for (auto const index : indices) {
         task.index = index;
@@ -814,7 +808,7 @@
     }
 }
 
-bool graph_scheduler::move_slow_run(
+void graph_scheduler::move_slow_run(
     registered_worker& worker, monotonic_time now)
 {
     for (auto const& [run, placed] : worker.runs) {
@@ -830,9 +824,8 @@
                 query, worker.id, policy_.closed_domains, now) == nullptr)
             continue;
         order_stop(worker, run);
-        return true;
+        return;
     }
-    return false;
 }
 
 placement_query graph_scheduler::query_for(
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -256,7 +256,7 @@
     {
         monotonic_time now;
         /// The workers that have changed since the last pass.
-        std::vector<worker_id> changed;
+        std::vector<registered_worker*> changed;
         /// The number of runs ordered when the pass is to end.
         std::uint64_t last_start = 0;
         /// Backfill tasks that have waited too long are placed in this pass.
@@ -329,7 +329,7 @@
         waiting_queue::container::iterator step, job_entry const& job,
         placement_pass const& pass, bool all);
     void move_slow_backfill_runs(monotonic_time now);
-    bool move_slow_run(registered_worker& worker, monotonic_time now);
+    void move_slow_run(registered_worker& worker, monotonic_time now);
     void update_slowed_since(
         placed_run& placed, std::uint32_t pace, monotonic_time now) const;
     bool place_gang(task_id const& any, job_entry& job, monotonic_time now);
--- a/src/libsycamorespar/placed_runs.cpp
+++ b/src/libsycamorespar/placed_runs.cpp
@@ -3,15 +3,6 @@
 
 namespace sycamorespar {
 
-namespace {
-
-bool serves(placed_run const& placed)
-{
-    return placed.facts.target.count() > 0;
-}
-
-} // namespace
-
 placed_run& placed_runs::insert(run_id const& run, placed_run const& placed)
 {
     auto const [found, is_new] = runs_.try_emplace(run, placed);
@@ -46,7 +37,7 @@
 {
     reserved_ += placed.need;
     backfill_millicores_ += placed.facts.backfill_millicores;
-    if (serves(placed))
+    if (placed.serves())
         ++serving_images_[placed.facts.image];
 }
 
@@ -54,7 +45,7 @@
 {
     reserved_ -= placed.need;
     backfill_millicores_ -= placed.facts.backfill_millicores;
-    if (!serves(placed))
+    if (!placed.serves())
         return;
     auto const found = serving_images_.find(placed.facts.image);
     if (--found->second == 0)
--- a/src/libsycamorespar/placed_runs.hpp
+++ b/src/libsycamorespar/placed_runs.hpp
@@ -36,6 +36,9 @@
     std::optional<monotonic_time> reported_at;
     /// Since when its runner has throttled it; empty if it is not throttled.
     std::optional<monotonic_time> slowed_since;
+
+    /// True for a run of a serving task, which has a latency target.
+    bool serves() const { return facts.target.count() > 0; }
 };
 
 /// The runs of one worker by id. Keeps sums of what they reserve, so that the
--- a/src/libsycamorespar/placement_query.cpp
+++ b/src/libsycamorespar/placement_query.cpp
@@ -44,22 +44,15 @@
 /// Assumed part of the reserved processors that tasks use.
 constexpr double usual_utilization = 0.6;
 
-double share_of(registered_worker const& worker, std::int64_t millicores)
-{
-    auto const whole =
-        std::max(worker.facts.capacity.millicores, std::int64_t{1});
-    return static_cast<double>(millicores) / static_cast<double>(whole);
-}
-
 /// The part of the idle processors that backfill tasks would use with one more.
 double
 idle_utilization(registered_worker const& worker, placement_query const& query)
 {
     auto const idle =
         1.0 -
-        usual_utilization * share_of(worker, worker.runs.reserved().millicores);
-    auto const wanted = share_of(
-        worker, worker.runs.backfill_millicores() + query.backfill_millicores);
+        usual_utilization * worker.share_of(worker.runs.reserved().millicores);
+    auto const wanted = worker.share_of(
+        worker.runs.backfill_millicores() + query.backfill_millicores);
     return wanted / std::max(idle, min_idle_share);
 }
 
@@ -108,11 +101,9 @@
 
 bool placement_scorer::may_take_work(registered_worker const& worker) const
 {
-    return worker.is_listed && worker.is_reachable && worker.is_recorded &&
-           worker.unknown_runs.empty() &&
+    return worker.is_usable() &&
            now_ + min_time_to_expiry < worker.runs_expire_at &&
-           now_ >= worker.cooldown_until && !worker.facts.is_draining &&
-           worker.facts.pool == query_.pool &&
+           now_ >= worker.cooldown_until && worker.facts.pool == query_.pool &&
            !closed_domains_.contains(worker.facts.domain) &&
            !query_.excluded.contains(worker.id);
 }
@@ -171,7 +162,7 @@
     double least = max_headroom;
     for (auto const& serving : *worker.headroom) {
         auto const added = added_load(serving.image) *
-                           share_of(worker, query_.backfill_millicores);
+                           worker.share_of(query_.backfill_millicores);
         if (added >= negligible_load)
             least = std::min(least, serving.left / added);
     }
--- a/src/libsycamorespar/registered_worker.cpp
+++ b/src/libsycamorespar/registered_worker.cpp
@@ -6,6 +6,18 @@
 
 namespace sycamorespar {
 
+bool registered_worker::is_usable() const
+{
+    return is_listed && is_reachable && is_recorded && unknown_runs.empty() &&
+           !facts.is_draining;
+}
+
+double registered_worker::share_of(std::int64_t millicores) const
+{
+    auto const whole = std::max(facts.capacity.millicores, std::int64_t{1});
+    return static_cast<double>(millicores) / static_cast<double>(whole);
+}
+
 bool registered_worker::has_label(std::string const& label) const
 {
     return std::find(facts.labels.begin(), facts.labels.end(), label) !=
--- a/src/libsycamorespar/registered_worker.hpp
+++ b/src/libsycamorespar/registered_worker.hpp
@@ -100,6 +100,10 @@
     /// The registry lists it among the changed workers.
     bool is_changed = false;
 
+    /// True if it may take work, as far as that depends on no time and no task.
+    bool is_usable() const;
+    /// These millicores as a part of its processors.
+    double share_of(std::int64_t millicores) const;
     /// True if the worker has this label.
     bool has_label(std::string const& label) const;
     /// Adds the run and queues its start order under the next number.
--- a/src/libsycamorespar/worker_registry.cpp
+++ b/src/libsycamorespar/worker_registry.cpp
@@ -25,11 +25,6 @@
 /// Progress at which a serving task handles requests and has a tail latency.
 constexpr std::uint32_t serving_percent = 100;
 
-bool serves(placed_run const& placed)
-{
-    return placed.facts.target.count() > 0;
-}
-
 /// The share of the worker's processors with which a backfill task affects the
 /// measured tail latencies. A new run starts at full speed, and this affects
 /// the measurements until their window has passed.
@@ -41,15 +36,7 @@
         !placed.reported_at || now - *placed.reported_at < measurement_window;
     auto const used =
         is_new ? placed.facts.backfill_millicores : placed.measurement;
-    auto const whole =
-        std::max(worker.facts.capacity.millicores, std::int64_t{1});
-    return static_cast<double>(used) / static_cast<double>(whole);
-}
-
-bool is_usable(registered_worker const& worker)
-{
-    return worker.is_listed && worker.is_reachable && worker.is_recorded &&
-           worker.unknown_runs.empty() && !worker.facts.is_draining;
+    return worker.share_of(used);
 }
 
 /// Lowers the headroom of an image, or adds it.
@@ -111,7 +98,7 @@
 {
     auto& slot = slots_[worker.slot];
     slot.free = worker.facts.capacity - worker.runs.reserved();
-    slot.is_usable = is_usable(worker);
+    slot.is_usable = worker.is_usable();
     slot.usable_from = worker.cooldown_until;
     slot.usable_until = worker.runs_expire_at - min_time_to_expiry;
     worker.headroom.reset();
@@ -137,7 +124,8 @@
         on_changed(worker);
 }
 
-std::vector<worker_id> worker_registry::take_changed(monotonic_time now)
+std::vector<registered_worker*>
+worker_registry::take_changed(monotonic_time now)
 {
     auto const ended = cooling_.upper_bound(now);
     for (auto next = cooling_.begin(); next != ended; ++next) {
@@ -146,10 +134,13 @@
             changed_.push_back(worker->id);
     }
     cooling_.erase(cooling_.begin(), ended);
-    auto taken = std::exchange(changed_, {});
-    for (auto const& id : taken) {
-        if (auto* const worker = find(id))
-            worker->is_changed = false;
+    std::vector<registered_worker*> taken;
+    for (auto const& id : std::exchange(changed_, {})) {
+        auto* const worker = find(id);
+        if (worker == nullptr)
+            continue;
+        worker->is_changed = false;
+        taken.push_back(worker);
     }
     return taken;
 }
@@ -196,7 +187,7 @@
                 {placed.facts.image, effective_share(worker, placed, now)});
     }
     for (auto const& [run, placed] : worker.runs) {
-        if (serves(placed) && placed.percent == serving_percent)
+        if (placed.serves() && placed.percent == serving_percent)
             contention_.observe(
                 run, placed.facts.image,
                 static_cast<double>(placed.measurement) /
@@ -219,7 +210,7 @@
             shares[placed.facts.image] += effective_share(worker, placed, now);
     }
     for (auto const& [run, placed] : worker.runs) {
-        if (!serves(placed))
+        if (!placed.serves())
             continue;
         auto const& image = placed.facts.image;
         double left = contention_.load_at(image, max_planned_tail) -
@@ -235,7 +226,7 @@
 {
     std::set<std::string> serving;
     for (auto const& [run, placed] : worker.runs) {
-        if (serves(placed))
+        if (placed.serves())
             serving.insert(placed.facts.image);
     }
     std::vector<contention_hint> hints;
--- a/src/libsycamorespar/worker_registry.hpp
+++ b/src/libsycamorespar/worker_registry.hpp
@@ -70,8 +70,8 @@
     /// Updates the index after the lease of the worker's runs was extended.
     void on_lease_extended(registered_worker& worker, monotonic_time now);
     /// Moves out the workers that have changed since the last call, and those
-    /// whose cooldown has ended.
-    std::vector<worker_id> take_changed(monotonic_time now);
+    /// whose cooldown has ended; valid until a worker is removed.
+    std::vector<registered_worker*> take_changed(monotonic_time now);
     /// The index; the order is arbitrary.
     std::vector<worker_slot> const& slots() const { return slots_; }
     /// Position in the index at which the next search begins, so that searches
