Review, case 1: finished tasks start again once a minion lists 500 ends (TWICE)

Found: a minion lists at most 500 ends. The runner takes a run that is in neither of its lists as gone, the leader starts its task again, and the end `done` is taken note of later. Shown by a script with the store silent for 4 s.

--- /dev/null
+++ b/review/stand/cases.cpp
@@ -0,0 +1,279 @@
+/// Each case says in its claim.txt which rule it checks and how.
+#include "cases.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace review {
+
+namespace {
+
+constexpr char const* ok_prefix = "/bundles/";
+
+std::string job_name(unsigned number)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016x", 0xa0000000U + number);
+    return text;
+}
+
+json one_step_job(std::string const& spec, unsigned count, int cpu, int mem)
+{
+    return {
+        {"spec", spec},
+        {"steps",
+         {{{"count", count},
+           {"cpu", cpu},
+           {"mem_mb", mem},
+           {"estimated_ms", 1000}}}}};
+}
+
+/// Hands a job in as clients do: again, at the next daemon, where there is no
+/// answer, a 502, 503, 504 or 429.
+bool submit(
+    world& all, std::string const& path, json const& body, std::size_t first,
+    std::int64_t for_ms = 3000)
+{
+    auto const end = now_ms() + for_ms;
+    for (auto at = first; now_ms() < end; ++at) {
+        auto const answer = all.call(
+            at % all.schedulers.size(), "POST", path, body.dump(), 1500);
+        if (answer.status / 100 == 2)
+            return true;
+        all.run_for(100);
+    }
+    return false;
+}
+
+int verdict(world& all, std::string const& rule,
+            std::vector<std::string> const& broken)
+{
+    for (auto const& each : broken)
+        all.record.line("BROKEN " + rule + " " + each);
+    all.record.line(
+        broken.empty() ? rule + " held"
+                       : rule + " broken " + std::to_string(broken.size()) +
+                             " times");
+    std::cout << (broken.empty() ? rule + " held" : rule + " broken: " +
+                                                        broken.front())
+              << " (" << broken.size() << ")\n";
+    return broken.empty() ? 0 : 1;
+}
+
+/// LOST: for 3 s on end, the job has nothing running though it isn't over and
+/// twice its room is free. Looks for this long.
+std::vector<std::string> find_stalled(
+    world& all, std::string const& job, std::size_t tasks, std::int64_t cpu,
+    std::int64_t look_ms)
+{
+    constexpr std::int64_t stall_ms = 3000;
+    auto const count_done = [&] {
+        std::size_t done = 0;
+        for (auto at = all.seen.lower_bound(job);
+             at != all.seen.end() && at->first.starts_with(job); ++at)
+            done += std::any_of(
+                at->second.begin(), at->second.end(),
+                [](run_history const& run) { return run.how == "done"; });
+        return done;
+    };
+    std::int64_t since = -1;
+    std::int64_t longest = 0;
+    all.until(
+        [&] {
+            bool const is_stalled =
+                !all.is_running(job) && all.free_cpu() >= 2 * cpu &&
+                2 * all.free_cpu() > all.whole_cpu();
+            if (!is_stalled)
+                since = -1;
+            else if (since < 0)
+                since = now_ms();
+            if (since >= 0)
+                longest = std::max(longest, now_ms() - since);
+            return count_done() == tasks;
+        },
+        look_ms);
+    auto const done = count_done();
+    all.record.line(
+        "job " + job + ": " + std::to_string(done) + " of " +
+        std::to_string(tasks) + " tasks are done; nothing of it ran for " +
+        std::to_string(longest) + " ms on end, with room free");
+    if (done == tasks || longest < stall_ms)
+        return {};
+    return {
+        "job " + job + " has nothing running for " + std::to_string(longest) +
+        " ms, " + std::to_string(tasks - done) +
+        " tasks aren't done, and there is capacity"};
+}
+
+minion_settings small_site()
+{
+    minion_settings each;
+    each.cpu = 16000;
+    each.mem_mb = 64000;
+    return each;
+}
+
+} // namespace
+
+int run_many_ends(std::string const& record_file)
+{
+    world all(record_file, 3, 4, small_site());
+    all.put_config(json::array({all.route("r-1", ok_prefix)}));
+    all.start();
+    auto const job = job_name(1);
+    constexpr unsigned tasks = 4000;
+    if (!submit(
+            all, ok_prefix + job,
+            one_step_job("cpu=80 ms=1000", tasks, 80, 10), 0))
+        throw cannot_run{"the job wasn't accepted"};
+    all.run_for(1000);
+    if (has_trouble()) {
+        all.record.line("the store is silent");
+        if (!ok(all.store->control({{"mode", "silent"}})))
+            throw cannot_run{"the store has no such mode"};
+        all.run_for(4000);
+        all.store->control({{"mode", "up"}});
+        all.record.line("the store answers again");
+    }
+    for (int look = 0; look < 50; ++look) {
+        auto const answer =
+            all.call(static_cast<std::size_t>(look) % 3, "GET",
+                     ok_prefix + job, "", 1000);
+        if (answer.body.find("completed") != std::string::npos)
+            break;
+        all.run_for(1000);
+    }
+    return verdict(all, "TWICE", find_twice(all.seen));
+}
+
+int run_dropped_route(std::string const& record_file)
+{
+    world all(record_file, 3, 4, small_site());
+    auto const kept = all.route("r-1", ok_prefix);
+    auto const dropped = all.route("r-2", "/members/");
+    all.put_config(json::array({kept, dropped}));
+    all.start();
+    auto const job = job_name(2);
+    json body = one_step_job("cpu=1000 ms=2500", 4, 1000, 256);
+    body["steps"].push_back(
+        {{"count", 4},
+         {"cpu", 1000},
+         {"mem_mb", 256},
+         {"estimated_ms", 1000},
+         {"after", {0}}});
+    if (!submit(all, "/members/" + job, body, 0))
+        throw cannot_run{"the job wasn't accepted"};
+    all.run_for(500);
+    all.put_config(json::array({kept}));
+    all.run_for(1000);
+    if (has_trouble()) {
+        auto const leader = all.leader();
+        if (leader < 0)
+            throw cannot_run{"no leader to kill"};
+        auto& killed = all.schedulers[static_cast<std::size_t>(leader)];
+        all.kill(killed);
+        all.run_for(500);
+        all.spawn(killed);
+    }
+    // The end of the traffic; jobs are asked for 14 s later.
+    all.run_for(14'000);
+    return verdict(
+        all, "LOST", find_stalled(all, job, 8, 1000, 10'000));
+}
+
+int run_large_reply(std::string const& record_file)
+{
+    auto each = small_site();
+    each.cpu = 64000;
+    each.mem_mb = 250'000;
+    world all(record_file, 3, 4, each);
+    all.put_config(json::array({all.route("r-1", ok_prefix)}));
+    all.start();
+    std::string spec = "cpu=40 ms=8000 ";
+    spec.resize(4000, 'x');
+    constexpr unsigned jobs = 24;
+    constexpr unsigned tasks = 250;
+    for (unsigned at = 0; at < jobs; ++at) {
+        if (at == 4 && has_trouble())
+            all.signal(all.runners[0], SIGSTOP);
+        if (!submit(
+                all, ok_prefix + job_name(100 + at),
+                one_step_job(spec, tasks, 40, 100), at))
+            throw cannot_run{"a job wasn't accepted"};
+        all.run_for(100);
+    }
+    if (has_trouble()) {
+        all.run_for(500);
+        all.signal(all.runners[0], SIGCONT);
+    }
+    all.record.line("the end of the traffic");
+    all.run_for(14'000);
+    std::vector<std::string> broken;
+    all.run_for(20'000);
+    for (unsigned at = 0; at < jobs; ++at) {
+        auto const job = job_name(100 + at);
+        auto const stalled = find_stalled(all, job, tasks, 40, 4000);
+        broken.insert(broken.end(), stalled.begin(), stalled.end());
+        if (!broken.empty())
+            break;
+    }
+    return verdict(all, "LOST", broken);
+}
+
+int run_late_route(std::string const& record_file)
+{
+    world all(record_file, 3, 4, small_site());
+    auto const first = all.route("r-1", ok_prefix);
+    all.put_config(json::array({first}));
+    all.start();
+    auto const leader = all.leader();
+    if (leader < 0)
+        throw cannot_run{"no leader"};
+    auto const other = static_cast<std::size_t>(leader + 1) % 3;
+    if (has_trouble()) {
+        auto const silent =
+            all.store_links[static_cast<std::size_t>(leader)]->silence(
+                "/-/kv-watch?prefix=op/");
+        all.record.line(
+            "a connection of " +
+            all.schedulers[static_cast<std::size_t>(leader)].name +
+            " to the store goes silent, with a watch that waits: " +
+            std::to_string(silent));
+        if (silent != 1)
+            throw cannot_run{"the watch wasn't found"};
+    }
+    all.put_config(json::array({first, all.route("r-2", "/members/", 3)}));
+    all.run_for(300);
+    auto const job = job_name(3);
+    auto const body = one_step_job("cpu=1000 ms=500 fail=1", 4, 1000, 256);
+    if (all.call(other, "POST", "/members/" + job, body.dump()).status != 200)
+        throw cannot_run{"the job wasn't accepted"};
+    std::vector<std::string> broken;
+    std::string state;
+    for (int look = 0; look < 20; ++look) {
+        all.run_for(500);
+        auto const answer = all.call(other, "GET", "/members/" + job, "");
+        state = answer.body;
+        if (state.find("completed") != std::string::npos ||
+            state.find("failed") != std::string::npos)
+            break;
+    }
+    std::size_t most = 0;
+    for (auto const& [task, runs] : all.seen)
+        most = std::max<std::size_t>(
+            most, static_cast<std::size_t>(std::count_if(
+                      runs.begin(), runs.end(), [](run_history const& run) {
+                          return run.how == "failed";
+                      })));
+    all.record.line(
+        "the most failed runs of one task: " + std::to_string(most) +
+        ", max_attempts 3");
+    if (state.find("failed") != std::string::npos && most < 3)
+        broken.push_back(
+            "job " + job + " is shown as failed after " +
+            std::to_string(most) + " failed runs of a task; max_attempts is 3");
+    return verdict(all, "LOST", broken);
+}
+
+} // namespace review
