--- a/review/stand/cases.cpp
+++ b/review/stand/cases.cpp
@@ -276,4 +276,48 @@
     return verdict(all, "LOST", broken);
 }
 
+int run_late_job(std::string const& record_file)
+{
+    constexpr std::int64_t cancel_ms = 3000;
+    world all(record_file, 3, 4, small_site());
+    all.put_config(json::array({all.route("r-1", ok_prefix)}));
+    all.start();
+    auto const leader = all.leader();
+    if (leader < 0)
+        throw cannot_run{"no leader"};
+    auto const first = static_cast<std::size_t>(leader + 1) % 3;
+    auto const second = static_cast<std::size_t>(leader + 2) % 3;
+    auto const job = job_name(4);
+    if (has_trouble()) {
+        all.store_links[first]->delay_next("/-/kv-txn", 6000);
+        all.record.line(
+            "the next write of " + all.schedulers[first].name +
+            " gets no answer and is done 6 s later");
+    }
+    // The client waits for its answer for the whole 3 s of its deadline.
+    auto const handed_in = all.call(
+        first, "POST", ok_prefix + job,
+        one_step_job("cpu=1000 ms=1000", 4, 1000, 256).dump());
+    if (handed_in.status == 503 || handed_in.status == 429)
+        throw cannot_run{"the job was refused"};
+    auto const cancelled = all.call(second, "DELETE", ok_prefix + job, "");
+    if (cancelled.status / 100 != 2 && cancelled.status != 410)
+        throw cannot_run{"the cancel wasn't acknowledged"};
+    auto const acknowledged_ms = now_ms();
+    all.run_for(12'000);
+    std::vector<std::string> broken;
+    for (auto const& [task, runs] : all.seen) {
+        for (auto const& run : runs) {
+            if (run.began_ms > acknowledged_ms + cancel_ms)
+                broken.push_back(
+                    task + " begins on " + run.minion + " " +
+                    std::to_string(run.began_ms - acknowledged_ms) +
+                    " ms after the job's cancelling was answered with " +
+                    std::to_string(cancelled.status));
+        }
+    }
+    all.call(second, "GET", ok_prefix + job, "");
+    return verdict(all, "UNASKED", broken);
+}
+
 } // namespace review
--- a/review/stand/cases.hpp
+++ b/review/stand/cases.hpp
@@ -11,6 +11,7 @@
 int run_dropped_route(std::string const& record_file);
 int run_large_reply(std::string const& record_file);
 int run_late_route(std::string const& record_file);
+int run_late_job(std::string const& record_file);
 
 } // namespace review
 
--- a/review/stand/main.cpp
+++ b/review/stand/main.cpp
@@ -16,6 +16,7 @@
         {"dropped-route", &run_dropped_route},
         {"large-reply", &run_large_reply},
         {"late-route", &run_late_route},
+        {"late-job", &run_late_job},
     };
     if (count != 3 || !cases.contains(texts[1])) {
         std::cerr << "usage: review-stand CASE RECORD\n";
--- a/review/stand/world.cpp
+++ b/review/stand/world.cpp
@@ -125,6 +125,14 @@
             return;
         }
         self->last_request = bytes.substr(0, 200);
+        auto& delayed = self->owner->delayed_text_;
+        if (!delayed.empty() && bytes.find(delayed) != std::string::npos) {
+            delayed.clear();
+            self->is_silent = true;
+            self->owner->send_later(bytes);
+            evbuffer_drain(input, bytes.size());
+            return;
+        }
         evbuffer_add_buffer(bufferevent_get_output(self->server), input);
     }
     static void on_server_read(bufferevent*, void* argument)
@@ -205,6 +213,26 @@
     return found;
 }
 
+void relay::delay_next(std::string const& text, std::int64_t ms)
+{
+    delayed_text_ = text;
+    delay_ms_ = ms;
+}
+
+void relay::send_later(std::string const& request)
+{
+    loop_.after(std::chrono::milliseconds(delay_ms_), [this, request] {
+        auto* const stream =
+            bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        auto const to = to_socket(target_);
+        bufferevent_socket_connect(
+            stream, reinterpret_cast<sockaddr const*>(&to), sizeof to);
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        bufferevent_write(stream, request.data(), request.size());
+        // The answer goes nowhere; the connection ends with the script.
+    });
+}
+
 std::string world::scheduler_ip(std::size_t index) const
 {
     return net + std::to_string(11 + index);
--- a/review/stand/world.hpp
+++ b/review/stand/world.hpp
@@ -59,6 +59,9 @@
     /// good: they stay open and carry nothing more.
     /// \return how many there were.
     int silence(std::string const& text);
+    /// The next request that contains this text gets no answer, and reaches the
+    /// target this much later.
+    void delay_next(std::string const& text, std::int64_t ms);
 
     struct pair;
 
@@ -67,7 +70,11 @@
     event_loop& loop_;
     endpoint target_;
     void* listener_ = nullptr;
+    void send_later(std::string const& request);
+
     std::set<pair*> pairs_;
+    std::string delayed_text_;
+    std::int64_t delay_ms_ = 0;
 };
 
 /// One run on a minion.
