--- a/review/stand/cases.cpp
+++ b/review/stand/cases.cpp
@@ -393,4 +393,37 @@
     return verdict(all, "DRAIN", broken);
 }
 
+int run_stale_leader(std::string const& record_file)
+{
+    world all(record_file, 3, 4, small_site());
+    all.put_config(json::array({all.route("r-1", ok_prefix)}));
+    all.start();
+    auto const leader = all.leader();
+    if (leader < 0)
+        throw cannot_run{"no leader"};
+    auto const old = static_cast<std::size_t>(leader);
+    auto body = one_step_job("cpu=1000 ms=12000", 16, 1000, 256);
+    body["steps"][0]["estimated_ms"] = 12000;
+    if (!submit(all, ok_prefix + job_name(8), body, old + 1))
+        throw cannot_run{"the job wasn't accepted"};
+    all.run_for(1000);
+    if (has_trouble()) {
+        all.signal(all.runners[0], SIGSTOP);
+        all.run_for(1200);
+        all.record.line(
+            "the store turns " + all.schedulers[old].name +
+            ", which leads, and runner-2 away");
+        all.store_links[old]->refuse(true);
+        all.runner_links[1]->refuse(true);
+        all.run_for(2300);
+        all.signal(all.runners[0], SIGCONT);
+        all.run_for(6200);
+        all.store_links[old]->refuse(false);
+        all.runner_links[1]->refuse(false);
+        all.record.line("the store serves all again");
+    }
+    all.run_for(15'000);
+    return verdict(all, "TWICE", find_twice(all.seen));
+}
+
 } // namespace review
--- a/review/stand/main.cpp
+++ b/review/stand/main.cpp
@@ -17,6 +17,7 @@
         {"large-reply", &run_large_reply},
         {"late-route", &run_late_route},
         {"late-job", &run_late_job},
+        {"stale-leader", &run_stale_leader},
         {"clock-back", &run_clock_back},
         {"late-beat", &run_late_beat},
     };
--- a/review/stand/world.cpp
+++ b/review/stand/world.cpp
@@ -166,6 +166,12 @@
         [](evconnlistener*, evutil_socket_t accepted, sockaddr*, int,
            void* argument) {
             auto* self = static_cast<relay*>(argument);
+            if (self->is_refusing_) {
+                linger const now{1, 0};
+                setsockopt(accepted, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+                ::close(accepted);
+                return;
+            }
             auto* made = new pair;
             made->owner = self;
             made->client = bufferevent_socket_new(
@@ -213,6 +219,19 @@
     return found;
 }
 
+void relay::refuse(bool is_refusing)
+{
+    is_refusing_ = is_refusing;
+    auto const open = std::exchange(pairs_, {});
+    for (auto* each : open) {
+        linger const now{1, 0};
+        setsockopt(
+            bufferevent_getfd(each->client), SOL_SOCKET, SO_LINGER, &now,
+            sizeof now);
+        delete each;
+    }
+}
+
 void relay::delay_next(std::string const& text, std::int64_t ms)
 {
     delayed_text_ = text;
@@ -263,7 +282,8 @@
         }
         for (int at = 0; at < runner_count; ++at) {
             auto const ip = runner_ip(static_cast<std::size_t>(at));
-            for (auto const port : {control_port, app_port, metrics_port})
+            for (auto const port :
+                 {control_port, app_port, store_port, metrics_port})
                 needed.push_back({ip, port});
         }
         if (std::all_of(needed.begin(), needed.end(), &is_free))
@@ -322,6 +342,8 @@
         auto const ip = runner_ip(at);
         process made;
         made.name = "runner-" + std::to_string(at + 1);
+        runner_links.push_back(
+            std::make_unique<relay>(loop, endpoint{ip, store_port}, store_at));
         made.program = "target/spar-runner";
         write_settings(
             made, "platform/runner.settings",
@@ -329,7 +351,8 @@
              {"listen.control|json",
               quoted(ip + ":" + std::to_string(control_port))},
              {"app|json", quoted(ip + ":" + std::to_string(app_port))},
-             {"platform.address|json", quoted(to_string(store_at))},
+             {"platform.address|json",
+              quoted(ip + ":" + std::to_string(store_port))},
              {"seeds|json", seeds},
              {"internal_ports.0|json", std::to_string(internal_port)},
              {"ip", ip},
--- a/review/stand/world.hpp
+++ b/review/stand/world.hpp
@@ -62,6 +62,8 @@
     /// The next request that contains this text gets no answer, and reaches the
     /// target this much later.
     void delay_next(std::string const& text, std::int64_t ms);
+    /// While set, all connections are reset and none is passed on.
+    void refuse(bool is_refusing);
 
     struct pair;
 
@@ -75,6 +77,7 @@
     std::set<pair*> pairs_;
     std::string delayed_text_;
     std::int64_t delay_ms_ = 0;
+    bool is_refusing_ = false;
 };
 
 /// One run on a minion.
@@ -269,6 +272,8 @@
     std::unique_ptr<standins::kv_service> store;
     /// The relay between each scheduler and the store.
     std::vector<std::unique_ptr<relay>> store_links;
+    /// The relay between each runner and the store.
+    std::vector<std::unique_ptr<relay>> runner_links;
     std::vector<process> schedulers;
     std::vector<process> runners;
     std::vector<std::unique_ptr<minion>> minions;
