Log lapsed leases, and how old the leader's own lease was

The logs told that the runs had ended (run_ended, how=lost), not why: a lapsed lease, a run missing from its runner's report and a new incarnation of the worker give the same line. New event lease_lapsed: the worker, the runs, how long the worker was silent, and how long ago the leader renewed its leadership. No decision is changed.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -643,6 +643,7 @@
     for (auto& [id, worker] : workers_.all()) {
         if (!has_lapsed(worker, now) || worker.runs.empty())
             continue;
+        emit_lapse(worker, now);
         end_all_runs(worker, now);
         worker.orders.clear();
         worker.is_listed = false;
@@ -991,6 +992,18 @@
         {scheduling_event::kind::job_ended, run, {}, {}, phase, 0});
 }
 
+void graph_scheduler::emit_lapse(
+    registered_worker const& worker, monotonic_time now)
+{
+    scheduling_event event;
+    event.type = scheduling_event::kind::lease_lapsed;
+    event.worker = worker.id;
+    event.lost_runs = worker.runs.size();
+    event.silence = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - worker.last_report_at);
+    events_.push_back(std::move(event));
+}
+
 std::vector<scheduling_event> graph_scheduler::take_events()
 {
     return std::exchange(events_, {});
--- a/src/spar-scheduler/scheduler_daemon.cpp
+++ b/src/spar-scheduler/scheduler_daemon.cpp
@@ -118,6 +118,9 @@
             [this] {
                 loop_.after(
                     duration::zero(), [this] { election_->on_conflict(); });
+            },
+            [this] {
+                return election_->time_since_renewal();
             }});
 }
 
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -305,6 +305,9 @@
                 {{"worker", event.worker.value},
                  {"void_orders", event.void_orders}});
             break;
+        case kind::lease_lapsed:
+            log_lapse(event);
+            break;
         case kind::run_ordered:
             log_run(event, "run_ordered", "start");
             break;
@@ -318,6 +321,18 @@
     }
 }
 
+void scheduling_term::log_lapse(scheduling_event const& event)
+{
+    auto const age = std::chrono::duration_cast<milliseconds>(
+        callbacks_.time_since_renewal());
+    log_event(
+        log_level::warning, "lease_lapsed",
+        {{"worker", event.worker.value},
+         {"runs", event.lost_runs},
+         {"silent_ms", event.silence.count()},
+         {"renewal_age_ms", age.count()}});
+}
+
 void scheduling_term::plan()
 {
     is_plan_due_ = false;
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -9,6 +9,7 @@
 #include "records/record_writer.hpp"
 #include "store/prefix_watch.hpp"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,6 +31,8 @@
         std::function<void()> on_orders;
         /// Another process is the leader.
         std::function<void()> on_leadership_lost;
+        /// The time since this process last renewed its leadership.
+        std::function<std::chrono::nanoseconds()> time_since_renewal;
     };
 
     scheduling_term(
@@ -74,6 +77,7 @@
     void apply_job(kv_item const& item);
     void plan();
     void log_events();
+    void log_lapse(scheduling_event const& event);
 
     struct recorded_progress
     {
--- a/src/store/leader_election.cpp
+++ b/src/store/leader_election.cpp
@@ -105,8 +105,12 @@
 
 bool leader_election::has_authority() const
 {
-    return is_leader_ &&
-           event_loop::time_since_boot() - renewed_at_ < limits_.authority;
+    return is_leader_ && time_since_renewal() < limits_.authority;
+}
+
+std::chrono::nanoseconds leader_election::time_since_renewal() const
+{
+    return event_loop::time_since_boot() - renewed_at_;
 }
 
 // An entry that names no leader, written by somebody else, is replaced: else
--- a/src/store/leader_election.hpp
+++ b/src/store/leader_election.hpp
@@ -102,6 +102,9 @@
     bool is_leader() const { return is_leader_; }
     /// True where this process may extend runs' leases.
     bool has_authority() const;
+    /// The time since the last renewal of the leader's lease that was answered
+    /// was sent; it includes time for which the instance was suspended.
+    std::chrono::nanoseconds time_since_renewal() const;
     /// A write has shown that another process, or none, is the leader.
     void on_conflict();
     /// Gives up the leadership and leaves the election; calls back when the
