Take a lease as lapsed only if the leader was confirmed after its end

Cause: a leader took a worker's lease as lapsed when the time of its own last grant was over. That is true only while nobody else grants: a successor finds the worker's runs and extends their lease. A leader without the store can't know of a successor, and went on concluding for as long as it had no answer. The same held for the wait of a new leader for recorded workers. The store's confirmation was taken from renewals of the leader's own lease, which can outlast its key.

Stopping all starts after 2 s without the store would also idle the workers in an outage of the store, in which nobody else leads.

Change: the election reads its key with each renewal; a read that returns it at the term's revision confirms that nobody else led when the read was sent. The scheduler takes a lease as lapsed only if it was confirmed after the lease's end: then no successor can have extended it in time. So no bound on the time of a takeover is needed; it holds for a key that is revoked as well. Extending leases (has_authority) counts from the same confirmation.

--- a/bench/planner_bench.cpp
+++ b/bench/planner_bench.cpp
@@ -107,8 +107,9 @@
         while (now_ < end) {
             now_ += tick;
             submit();
-            timed(
-                plan_, [&] { return scheduler_.plan(now_, milliseconds(0)); });
+            timed(plan_, [&] {
+                return scheduler_.plan(now_, milliseconds(0), now_);
+            });
             for (auto& worker : workers_)
                 drive(worker);
             record();
--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -616,11 +616,12 @@
 }
 
 bool graph_scheduler::plan(
-    monotonic_time now, std::chrono::milliseconds time_of_day)
+    monotonic_time now, std::chrono::milliseconds time_of_day,
+    monotonic_time confirmed_at)
 {
     bool const is_housekeeping_due = now >= housekeeping_due_;
     if (is_housekeeping_due)
-        keep_house(now);
+        keep_house(now, confirmed_at);
     open_occurrences(time_of_day);
     bool const is_whole = place_waiting(
         {now, workers_.take_changed(now),
@@ -630,18 +631,20 @@
     return is_whole;
 }
 
-void graph_scheduler::keep_house(monotonic_time now)
+void graph_scheduler::keep_house(
+    monotonic_time now, monotonic_time confirmed_at)
 {
     housekeeping_due_ = now + limits_.housekeeping_interval;
-    expire_silent_workers(now);
+    expire_silent_workers(now, confirmed_at);
 }
 
-void graph_scheduler::expire_silent_workers(monotonic_time now)
+void graph_scheduler::expire_silent_workers(
+    monotonic_time now, monotonic_time confirmed_at)
 {
-    if (now >= settled_at_)
+    if (confirmed_at >= settled_at_)
         unsettled_workers_.clear();
     for (auto& [id, worker] : workers_.all()) {
-        if (!has_lapsed(worker, now) || worker.runs.empty())
+        if (!has_lapsed(worker, confirmed_at) || worker.runs.empty())
             continue;
         emit_lapse(worker, now);
         end_all_runs(worker, now);
@@ -649,25 +652,29 @@
         worker.is_listed = false;
         workers_.on_changed(worker);
     }
-    forget_silent_workers(now);
+    forget_silent_workers(now, confirmed_at);
 }
 
+// A successor extends the leases that this scheduler has granted. It is
+// therefore not enough that the last grant is over: this scheduler must have
+// been the leader after that.
 bool graph_scheduler::has_lapsed(
-    registered_worker const& worker, monotonic_time now) const
+    registered_worker const& worker, monotonic_time confirmed_at) const
 {
     // Until then, a lease that an earlier scheduler granted may outlast ours.
-    return now >= std::max(worker.runs_expire_at, settled_at_);
+    return confirmed_at >= std::max(worker.runs_expire_at, settled_at_);
 }
 
 // A new leader waits for every recorded worker. The record of a worker that is
 // gone for good would delay the tasks of each new leader until the lease time
 // is over.
-void graph_scheduler::forget_silent_workers(monotonic_time now)
+void graph_scheduler::forget_silent_workers(
+    monotonic_time now, monotonic_time confirmed_at)
 {
     workers_.erase_if([&](registered_worker const& worker) {
         bool const is_silent =
             now - worker.last_report_at >= limits_.lease_time;
-        if (!is_silent || !has_lapsed(worker, now))
+        if (!is_silent || !has_lapsed(worker, confirmed_at))
             return false;
         if (!worker.is_forgotten)
             forgotten_workers_.push_back(worker.id);
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -210,8 +210,13 @@
     /// Ends the runs of workers whose lease has lapsed, opens due occurrences,
     /// and places or moves tasks.
     /// \param time_of_day  since 1970.
+    /// \param confirmed_at  the latest time at which this scheduler is known to
+    /// have been the leader, at most `now`. A lease that was over by then has
+    /// lapsed; a later one may have been extended by a successor.
     /// \return false if the pass ended early, and another one is due.
-    bool plan(monotonic_time now, std::chrono::milliseconds time_of_day);
+    bool plan(
+        monotonic_time now, std::chrono::milliseconds time_of_day,
+        monotonic_time confirmed_at);
 
     /// Moves out the progress to write, oldest change first, each job once.
     std::vector<progress_record> take_records(std::size_t most);
@@ -316,14 +321,15 @@
     void update_health(
         registered_worker& worker, run_id const& run, run_end how,
         monotonic_time now);
-    void expire_silent_workers(monotonic_time now);
-    bool has_lapsed(registered_worker const& worker, monotonic_time now) const;
-    void forget_silent_workers(monotonic_time now);
+    void expire_silent_workers(monotonic_time now, monotonic_time confirmed_at);
+    bool has_lapsed(
+        registered_worker const& worker, monotonic_time confirmed_at) const;
+    void forget_silent_workers(monotonic_time now, monotonic_time confirmed_at);
     void process_leave(
         registered_worker& worker, runner_report const& report,
         monotonic_time now);
     void open_occurrences(std::chrono::milliseconds time_of_day);
-    void keep_house(monotonic_time now);
+    void keep_house(monotonic_time now, monotonic_time confirmed_at);
     bool place_waiting(placement_pass const& pass);
     void place_step(
         waiting_queue::container::iterator step, placement_pass const& pass);
--- a/src/spar-scheduler/scheduler_daemon.cpp
+++ b/src/spar-scheduler/scheduler_daemon.cpp
@@ -119,8 +119,9 @@
                 loop_.after(
                     duration::zero(), [this] { election_->on_conflict(); });
             },
+            [this] { return election_->time_since_confirmation(); },
             [this] {
-                return election_->time_since_renewal();
+                return election_->confirmed_at();
             }});
 }
 
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -324,13 +324,13 @@
 void scheduling_term::log_lapse(scheduling_event const& event)
 {
     auto const age = std::chrono::duration_cast<milliseconds>(
-        callbacks_.time_since_renewal());
+        callbacks_.time_since_confirmation());
     log_event(
         log_level::warning, "lease_lapsed",
         {{"worker", event.worker.value},
          {"runs", event.lost_runs},
          {"silent_ms", event.silence.count()},
-         {"renewal_age_ms", age.count()}});
+         {"confirmed_ago_ms", age.count()}});
 }
 
 void scheduling_term::plan()
@@ -338,7 +338,9 @@
     is_plan_due_ = false;
     if (!is_ready())
         return;
-    if (!scheduler_->plan(event_loop::now(), steady_time_of_day()))
+    bool const is_whole = scheduler_->plan(
+        event_loop::now(), steady_time_of_day(), callbacks_.confirmed_at());
+    if (!is_whole)
         plan_soon();
     if (scheduler_->is_settled() && !std::exchange(is_settled_, true))
         log_event(log_level::info, "workers_settled", {{"term", term_.value}});
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -31,8 +31,11 @@
         std::function<void()> on_orders;
         /// Another process is the leader.
         std::function<void()> on_leadership_lost;
-        /// The time since this process last renewed its leadership.
-        std::function<std::chrono::nanoseconds()> time_since_renewal;
+        /// The time since the leadership was last confirmed.
+        std::function<std::chrono::nanoseconds()> time_since_confirmation;
+        /// The latest time at which this process is known to have been the
+        /// leader.
+        std::function<monotonic_time()> confirmed_at;
     };
 
     scheduling_term(
--- a/src/store/leader_election.cpp
+++ b/src/store/leader_election.cpp
@@ -1,13 +1,16 @@
 /// Leader election through one key of the store. The key's revision is the
 /// term: the store has a single revision counter, so a later leader's term is
-/// always higher. Authority lasts from the time a renewal was sent, on a clock
-/// that keeps running while the instance is suspended.
+/// always higher. A read that returns the key at that revision confirms that no
+/// other process had become the leader when the read was sent. The lease alone
+/// doesn't: it may outlast the key. Authority lasts from then on a clock that
+/// keeps running while the instance is suspended.
 #include "store/leader_election.hpp"
 
 #include "common/json_number.hpp"
 #include "common/json_text.hpp"
 #include "common/log.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -105,12 +108,23 @@
 
 bool leader_election::has_authority() const
 {
-    return is_leader_ && time_since_renewal() < limits_.authority;
+    return is_leader_ && time_since_confirmation() < limits_.authority;
 }
 
-std::chrono::nanoseconds leader_election::time_since_renewal() const
+std::chrono::nanoseconds leader_election::time_since_confirmation() const
 {
-    return event_loop::time_since_boot() - renewed_at_;
+    return event_loop::time_since_boot() - confirmed_since_boot_;
+}
+
+leader_election::sending_time leader_election::now()
+{
+    return {event_loop::now(), event_loop::time_since_boot()};
+}
+
+void leader_election::confirm(sending_time const& sent)
+{
+    confirmed_at_ = std::max(confirmed_at_, sent.at);
+    confirmed_since_boot_ = std::max(confirmed_since_boot_, sent.since_boot);
 }
 
 // An entry that names no leader, written by somebody else, is replaced: else
@@ -284,17 +298,14 @@
         return;
     is_acquiring_ = true;
     std::weak_ptr<bool> const guard = alive_;
-    auto const sent_at = event_loop::time_since_boot();
     store_.grant_lease(
-        limits_.ttl, [this, guard, sent_at](result<kv_lease> const& granted) {
+        limits_.ttl, [this, guard](result<kv_lease> const& granted) {
             if (guard.expired())
                 return;
-            if (!ok(granted)) {
+            if (ok(granted))
+                acquire_with(value(granted));
+            else
                 retry_later();
-                return;
-            }
-            renewed_at_ = sent_at;
-            acquire_with(value(granted));
         });
 }
 
@@ -311,7 +322,8 @@
         {{leader_key, write_leader(self_), lease.id}},
         {}};
     std::weak_ptr<bool> const guard = alive_;
-    store_.write(write, [this, guard](result<kv_write_result> const& written) {
+    auto const sent = now();
+    store_.write(write, [this, guard, sent](auto const& written) {
         if (guard.expired())
             return;
         bool const is_acquired =
@@ -328,6 +340,7 @@
         leader_ =
             leader_info{term, self_.process, self_.address, self_.capacity};
         expected_capacity_ = self_.capacity;
+        confirm(sent);
         become_leader(term);
     });
 }
@@ -351,6 +364,7 @@
     loop_.cancel(renewal_);
     renewal_ = loop_.every(limits_.renewal, [this] { renew(); });
     log_event(log_level::info, "office_gained", {{"term", term.value}});
+    confirm_leadership();
     callbacks_.on_gained(term);
 }
 
@@ -363,25 +377,53 @@
 }
 
 void leader_election::renew()
+{
+    renew_lease();
+    confirm_leadership();
+}
+
+void leader_election::renew_lease()
 {
     std::weak_ptr<bool> const guard = alive_;
-    auto const sent_at = event_loop::time_since_boot();
     auto const lease = lease_;
-    store_.renew_lease(
-        lease, [this, guard, sent_at, lease](result<bool> const& kept) {
-            if (guard.expired() || !is_leader_ || !(lease == lease_))
-                return;
-            if (!ok(kept)) {
-                log_repeated_error("office_renewal_failed", failure(kept));
-                return;
-            }
-            if (value(kept))
-                renewed_at_ = sent_at;
-            else
-                on_conflict();
+    store_.renew_lease(lease, [this, guard, lease](result<bool> const& kept) {
+        if (guard.expired() || !is_leader_ || !(lease == lease_))
+            return;
+        if (!ok(kept))
+            log_repeated_error("office_renewal_failed", failure(kept));
+        else if (!value(kept))
+            on_conflict();
+    });
+}
+
+void leader_election::confirm_leadership()
+{
+    std::weak_ptr<bool> const guard = alive_;
+    store_.get(
+        leader_key,
+        [this, guard, term = leader_->term, sent = now()](auto const& read) {
+            bool const is_current =
+                !guard.expired() && is_leader_ && leader_->term == term;
+            if (is_current)
+                apply_own_key(term, sent, read);
         });
 }
 
+void leader_election::apply_own_key(
+    scheduler_term term, sending_time const& sent,
+    result<std::optional<kv_item>> const& read)
+{
+    if (!ok(read)) {
+        log_repeated_error("office_not_confirmed", failure(read));
+        return;
+    }
+    auto const& item = value(read);
+    if (item && item->revision == term.value)
+        confirm(sent);
+    else
+        on_conflict();
+}
+
 void leader_election::on_conflict()
 {
     if (!is_leader_)
--- a/src/store/leader_election.hpp
+++ b/src/store/leader_election.hpp
@@ -5,6 +5,7 @@
 #include "common/event_loop.hpp"
 #include "common/http_message.hpp"
 #include "common/kv_store.hpp"
+#include "libsycamorespar/clock.hpp"
 #include "libsycamorespar/ids.hpp"
 #include "libsycamorespar/runner_messages.hpp"
 #include "store/prefix_watch.hpp"
@@ -56,14 +57,15 @@
 {
     /// The leader's lease expires this long after its last renewal.
     std::chrono::milliseconds ttl{1200};
-    /// Interval between renewals of the lease.
+    /// Interval between renewals of the lease, and between reads that confirm
+    /// the leadership.
     std::chrono::milliseconds renewal{300};
     /// Delay before another attempt to become leader.
     std::chrono::milliseconds retry{50};
-    /// The leader may extend runs' leases for this long after it sent the
-    /// last renewal that was answered; its successor relies on this bound. It
-    /// may outlast the lease: a leader that the store has lost sight of keeps
-    /// its workers' runs going until the successor has them.
+    /// The leader may extend runs' leases for this long after it was last
+    /// known to lead; its successor relies on this bound. It may outlast the
+    /// lease: a leader that the store has lost sight of keeps its workers' runs
+    /// going until the successor has them.
     std::chrono::milliseconds authority{2000};
     /// A process counts as larger if its capacity exceeds the other's by more
     /// than this factor.
@@ -102,9 +104,12 @@
     bool is_leader() const { return is_leader_; }
     /// True where this process may extend runs' leases.
     bool has_authority() const;
-    /// The time since the last renewal of the leader's lease that was answered
-    /// was sent; it includes time for which the instance was suspended.
-    std::chrono::nanoseconds time_since_renewal() const;
+    /// The latest time at which no other process had become the leader after
+    /// this one, as far as the store has confirmed it.
+    monotonic_time confirmed_at() const { return confirmed_at_; }
+    /// The time since then, including time for which the instance was
+    /// suspended.
+    std::chrono::nanoseconds time_since_confirmation() const;
     /// A write has shown that another process, or none, is the leader.
     void on_conflict();
     /// Gives up the leadership and leaves the election; calls back when the
@@ -112,6 +117,15 @@
     void resign(std::function<void()> on_done);
 
 private:
+    /// When a call was sent.
+    struct sending_time
+    {
+        monotonic_time at{};
+        /// The same, including time for which the instance was suspended.
+        std::chrono::nanoseconds since_boot{0};
+    };
+
+    static sending_time now();
     void apply_listing(std::vector<kv_item> const& items);
     void apply_change(kv_change const& change);
     std::optional<leader_info> read_entry(kv_item const& item);
@@ -130,6 +144,12 @@
     void become_leader(scheduler_term term);
     void lose_leadership();
     void renew();
+    void renew_lease();
+    void confirm_leadership();
+    void apply_own_key(
+        scheduler_term term, sending_time const& sent,
+        result<std::optional<kv_item>> const& read);
+    void confirm(sending_time const& sent);
 
     event_loop& loop_;
     kv_store const& store_;
@@ -147,7 +167,8 @@
     /// The term of the leader that this process asked to hand over.
     scheduler_term claimed_from_;
     kv_lease_id lease_;
-    std::chrono::nanoseconds renewed_at_{0};
+    monotonic_time confirmed_at_{};
+    std::chrono::nanoseconds confirmed_since_boot_{0};
     event_id renewal_ = 0;
     std::shared_ptr<bool> alive_;
     std::unique_ptr<prefix_watch> watch_;
--- a/tests/graph_soak_test.cpp
+++ b/tests/graph_soak_test.cpp
@@ -74,6 +74,20 @@
                 workers_[at].is_unreachable = false;
             });
         }
+        if (chance(0.004))
+            cut_from_store(at);
+    }
+
+    /// Cuts a runner off from the store, in some cases with the leader.
+    void cut_from_store(std::size_t at)
+    {
+        runners_[at].is_store_lost = true;
+        if (chance(0.6))
+            leaders_.back().is_cut = true;
+        after(milliseconds(between(500, 9000)), [this, at] {
+            runners_[at].is_store_lost = false;
+            find_leader(at);
+        });
     }
 };
 
