Void a start order once the lease of its time is over

Callers would see (TWICE): a task runs on two workers, one of which began it seconds late.

Cause: a runner that had stood still sends a start whose first attempt was lost. Its scheduler had taken the worker's lease as lapsed meanwhile and started the task elsewhere. The runner's next report opens a new session; the reply extends the lease before the scheduler has seen any list, and the start's deadline followed that later lease.

No leader was deposed, so it is a fault of its own.

Change: an order is void after the end of the lease that was granted when it came. The scheduler's view of that lease is never shorter, so the worker refuses the start as late, and the refusal is reported.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -213,6 +213,7 @@
         if (!added.second)
             return;
         added.first->second.order = *start;
+        added.first->second.void_after = granted_until_;
         added.first->second.is_known = true;
         return;
     }
@@ -248,6 +249,9 @@
     has_updates_ = true;
 }
 
+// Once the lease is over, the scheduler may start the task elsewhere. A later
+// lease doesn't revive the order: it may have been granted before the scheduler
+// has seen that the start is still pending.
 std::vector<start_call> run_tracker::take_starts(monotonic_time now)
 {
     std::vector<start_call> calls;
@@ -259,7 +263,7 @@
             continue;
         tracked.start_stage = tracked_run::stage::calling;
         auto const deadline =
-            std::min(granted_until_, clock + limits_.start_lifetime);
+            std::min(tracked.void_after, clock + limits_.start_lifetime);
         sent_until_ = std::max(sent_until_, deadline);
         calls.push_back({tracked.order, deadline, token_});
     }
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -147,6 +147,9 @@
     /// The order; only its run is set if the run was found on the worker's
     /// list.
     start_order order;
+    /// The end of the lease that was granted when the order came, by the
+    /// worker's clock. The order is void after it.
+    worker_time void_after{0};
     /// True if the task's properties are known.
     bool is_known = false;
     /// True if it was found on the worker's list instead of ordered here: an
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -105,6 +105,25 @@
     CHECK(calls[0].deadline < f.tracker.clock_at_least(f.now));
 }
 
+// TWICE: a runner that had stood still began a run that its scheduler had taken
+// as lapsed, under a lease that came before its list (soak, seed 425 of 500).
+TEST_CASE("a start is void after the lease under which it was ordered")
+{
+    fixture f;
+    f.join();
+    f.order_start();
+    auto const ordered_until = f.tracker.granted_until();
+    REQUIRE(f.tracker.take_starts(f.now).size() == 1);
+    f.tracker.on_start_result(run, call_outcome::unknown, 0ms, f.now);
+    f.now += 6s;
+    // A new session; the reply that opens it extends the lease.
+    f.reply(f.report().sequence, {}, 71);
+    REQUIRE(f.tracker.granted_until() > ordered_until);
+    auto const calls = f.tracker.take_starts(f.now);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls[0].deadline <= ordered_until);
+}
+
 TEST_CASE("a delayed start is void: its deadline is at most 1.5 s away")
 {
     fixture f;
