Keep a restarted runner from dropping runs under its predecessor's lease

Callers would see (TWICE): a task starts elsewhere while its worker, which doesn't answer for some seconds, still runs it.

Cause: a runner takes the runs of an unreachable worker as gone once the latest lease that it has sent is over. A process that has just restarted has sent none; where its leader may not extend leases (no contact to the store), the runs that it had found on the worker's list were dropped at once, and the scheduler started them elsewhere. The process before it may have extended their lease a moment earlier.

Ruled out: the same for a worker's new incarnation, which holds no lease of the one before.

Change: with the first list of a worker, a runner counts on a lease of the full time from that list on: no earlier process can have granted more.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -406,6 +406,10 @@
     }
     if (listing.at < last_listing_ || facts_.has_left)
         return;
+    // An earlier process of this runner may have extended the lease just before
+    // it ended.
+    if (last_listing_ == worker_time::zero())
+        sent_until_ = std::max(sent_until_, listing.at + limits_.lease_time);
     last_listing_ = listing.at;
     for (auto const& end : listing.ended) {
         if (end.number <= last_end_)
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -369,6 +369,30 @@
     CHECK_FALSE(f.has_run());
 }
 
+// TWICE: a runner that had restarted, and was granted no lease, took the runs
+// of a worker that didn't answer as gone, though the process before it had
+// extended their lease.
+TEST_CASE("a restarted runner waits for the lease that the one before granted")
+{
+    fixture f;
+    f.tracker.on_reply(
+        f.report().sequence,
+        {scheduler_term{7}, 70, false, f.facts.incarnation, 0, {}});
+    f.list({f.listed()}, {});
+    REQUIRE(f.tracker.granted_until() == 0ms);
+    auto const listed = f.now;
+    while (f.now - listed < 5s) {
+        f.now += 100ms;
+        f.tracker.on_poll_failed(f.now);
+        f.tracker.drop_lapsed(f.now);
+        CHECK(f.has_run());
+    }
+    CHECK_FALSE(f.tracker.is_reachable());
+    f.now += 1s;
+    f.tracker.drop_lapsed(f.now);
+    CHECK_FALSE(f.has_run());
+}
+
 TEST_CASE("a refused token begins a new session")
 {
     fixture f;
