Stop renewing the leadership once it is resigned

Callers would see: for as long as a stopping leader takes to end, up to its drain time, nothing is scheduled.

Cause: a leader that stops asks the store to remove its key. If the store refuses that, the process schedules nothing any more, but went on renewing the lease of its key until it exited, so that nobody else could lead.

--- a/src/store/leader_election.cpp
+++ b/src/store/leader_election.cpp
@@ -436,6 +436,8 @@
 void leader_election::resign(std::function<void()> on_done)
 {
     has_resigned_ = true;
+    // Where the key can't be removed it expires with its lease.
+    loop_.cancel(renewal_);
     if (!is_leader_) {
         on_done();
         return;
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -288,6 +288,21 @@
     CHECK(second_term > first_term);
 }
 
+// Nobody led for as long as a stopping leader took to end, as it went on
+// renewing the lease of its key after the store had refused to remove that.
+TEST_CASE("a leader that couldn't resign doesn't keep its key")
+{
+    store_fixture fixture;
+    candidate first(fixture, 1, 250);
+    REQUIRE(fixture.run_until([&] { return first.election.is_leader(); }));
+    fixture.fail_writes_of = [](kv_write const& write) {
+        return !write.removals.empty();
+    };
+    first.election.resign([] {});
+    CHECK(fixture.run_until(
+        [&] { return !fixture.kv.items().contains(leader_key); }));
+}
+
 TEST_CASE("a process becomes leader although the answer to its write is lost")
 {
     store_fixture fixture;
