End a term when a runner has followed a later one

Callers would see: a leader that the store turns away goes on as leader for the runners that come back to it, although one of them told it of its successor.

Cause: each report names the term that the runner follows; the leader never compared it with its own. Runners refuse the replies of an earlier term, so that no work was done twice by this alone; but the leader went on answering, planning and taking reports of others, until the store was back.

Change: a report of a later term ends the term, as a job of a later term does.

--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -268,6 +268,14 @@
 
 bool scheduling_term::on_report(runner_report const& report)
 {
+    // Only a leader assigns a term, so this one has a successor.
+    if (report.term > term_) {
+        log_event(
+            log_level::warning, "report_of_later_term",
+            {{"worker", report.worker.value}, {"term", report.term.value}});
+        callbacks_.on_leadership_lost();
+        return true;
+    }
     bool const is_new = scheduler_->on_report(report, event_loop::now());
     plan_soon();
     return is_new;
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -60,7 +60,7 @@
     std::optional<std::size_t> pending(queue_id const& queue) const;
     /// Applies a changed configuration.
     void set_policy(schedule_policy policy);
-    /// Processes a runner's report.
+    /// Processes a runner's report; one that names a later term ends this term.
     /// \return false where a newer report was already processed.
     bool on_report(runner_report const& report);
     /// Adds a job that this process stored; the watch reports it as well.
--- a/tests/deposed_leader_test.cpp
+++ b/tests/deposed_leader_test.cpp
@@ -213,6 +213,32 @@
     CHECK(rig.run_until([&] { return leading.scheduler()->is_settled(); }));
 }
 
+// A leader that the store turned away kept the runners that it could reach,
+// although one of them had told it of its successor.
+TEST_CASE(
+    "a term ends with the report of a runner that has followed a later one")
+{
+    store_rig rig;
+    bool is_lost = false;
+    scheduling_term leading(
+        rig.loop, rig.store, term, {}, test_policy(),
+        {[] {}, [&] { is_lost = true; },
+         [] { return std::chrono::nanoseconds(0); },
+         [] {
+             return event_loop::now();
+         }});
+    REQUIRE(rig.run_until([&] { return leading.is_ready(); }));
+    test_runner runner("a");
+    runner.report.sequence = 1;
+    runner.report.term = scheduler_term{term.value - 1};
+    leading.on_report(runner.report);
+    CHECK_FALSE(is_lost);
+    ++runner.report.sequence;
+    runner.report.term = scheduler_term{term.value + 1};
+    leading.on_report(runner.report);
+    CHECK(is_lost);
+}
+
 // TWICE: the time at which the store had confirmed a leader was not known.
 TEST_CASE("a leader without the store is not confirmed any more")
 {
