--- a/tests/deposed_leader_test.cpp
+++ b/tests/deposed_leader_test.cpp
@@ -2,15 +2,14 @@
 /// graph_scheduler, scheduling_term and leader_election.
 #include "graph_world.hpp"
 #include "spar-scheduler/scheduling_term.hpp"
-#include "standins/kv/memory_kv.hpp"
 #include "store/leader_election.hpp"
+#include "store_rig.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace sycamorespar;
 using namespace sycamorespar::tests;
 using namespace std::chrono_literals;
-using standins::memory_kv;
 
 namespace {
 
@@ -72,30 +71,6 @@
     }
 };
 
-/// An event loop with a store.
-struct store_rig
-{
-    event_loop loop;
-    memory_kv kv{loop};
-    kv_store store = kv.store();
-
-    void run_for(std::chrono::milliseconds span)
-    {
-        loop.after(span, [this] { loop.stop(); });
-        loop.run();
-    }
-
-    /// Runs until a condition holds; the bound only stops a hanging test.
-    bool run_until(std::function<bool()> const& holds)
-    {
-        constexpr std::chrono::seconds bound{20};
-        auto const begin = event_loop::now();
-        while (!holds() && event_loop::now() - begin < bound)
-            run_for(5ms);
-        return holds();
-    }
-};
-
 /// A process whose watches go silent after a change of one key: no answer
 /// comes, and no error.
 struct deaf_process
@@ -118,7 +93,7 @@
         auto const watch = inner.watch;
         inner.watch = [this, watch, last_key](
                           auto const& prefix, auto after, auto wait,
-                          kv_store::callback<kv_changes> on_result) {
+                          kv_store::callback<kv_changes> const& on_result) {
             watch(
                 prefix, after, wait,
                 [this, last_key, on_result](result<kv_changes> const& seen) {
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -3,27 +3,25 @@
 #include "records/job_store.hpp"
 #include "records/record_keys.hpp"
 #include "records/record_writer.hpp"
-#include "standins/kv/memory_kv.hpp"
 #include "store/leader_election.hpp"
 #include "store/prefix_watch.hpp"
 #include "store/watched_store.hpp"
+#include "store_rig.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace sycamorespar;
 using namespace std::chrono_literals;
-using standins::memory_kv;
 
 namespace {
 
-struct store_fixture
+struct store_fixture : tests::store_rig
 {
-    event_loop loop;
-    memory_kv kv{loop};
-    kv_store store = failing_store();
     /// The writes that fail without being carried out.
     std::function<bool(kv_write const&)> fail_writes_of;
 
+    store_fixture() { store = failing_store(); }
+
     kv_store failing_store()
     {
         auto made = kv.store();
@@ -40,22 +38,6 @@
         };
         return made;
     }
-
-    void run_for(std::chrono::milliseconds span)
-    {
-        loop.after(span, [this] { loop.stop(); });
-        loop.run();
-    }
-
-    /// Runs until a condition holds; the bound only stops a hanging test.
-    bool run_until(std::function<bool()> const& holds)
-    {
-        constexpr std::chrono::seconds bound{20};
-        auto const begin = event_loop::now();
-        while (!holds() && event_loop::now() - begin < bound)
-            run_for(5ms);
-        return holds();
-    }
 };
 
 struct watched_values
