Log runs that a worker's list lacks

lease_lapsed ruled a lapse out: 642 runs ended as lost, none of them by that. New event runs_missing of the runner: how many runs a list lacks, and how many running tasks and ends it holds. No decision is changed.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -466,6 +466,7 @@
     }
     for (auto const& run : revoked)
         record_refusal(run, refusal_reason::no_answer);
+    missing_runs_ += vanished.size();
     for (auto const& run : vanished) {
         runs_.erase(run);
         has_updates_ = true;
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -265,6 +265,8 @@
     worker_time granted_until() const { return granted_until_; }
     /// The number of stop orders for runs that were not tracked.
     std::uint64_t ignored_stops() const { return ignored_stops_; }
+    /// The number of runs that were taken as gone because a list lacked them.
+    std::uint64_t missing_runs() const { return missing_runs_; }
 
 private:
     struct sent_report
@@ -310,6 +312,7 @@
     bool is_reachable_ = true;
     std::optional<monotonic_time> answered_at_;
     std::uint64_t ignored_stops_ = 0;
+    std::uint64_t missing_runs_ = 0;
 };
 
 } // namespace sycamorespar
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -150,7 +150,7 @@
         [this, call](platform::poll_answer const& answer) {
             ++(answer.listing ? counts_.polls : counts_.failed_polls);
             if (answer.listing)
-                tracker_.on_listing(*answer.listing, call, event_loop::now());
+                apply_listing(*answer.listing, call);
             else
                 handle_token_result(answer.result, call.token);
             report_sender_.wake();
@@ -248,10 +248,10 @@
         report_sender_.wake();
         return;
     }
-    auto const now = event_loop::now();
-    tracker_.on_listing(*answer.listing, call, now);
+    apply_listing(*answer.listing, call);
     pacing_.on_measurements(
-        tracker_.runs(), tracker_.facts().capacity.millicores, now);
+        tracker_.runs(), tracker_.facts().capacity.millicores,
+        event_loop::now());
     if (is_logged(log_level::debug))
         log_measurements();
     pace();
@@ -265,6 +265,20 @@
         poll();
 }
 
+void runner_daemon::apply_listing(
+    worker_listing const& listing, poll_call const& call)
+{
+    auto const before = tracker_.missing_runs();
+    tracker_.on_listing(listing, call, event_loop::now());
+    if (tracker_.missing_runs() == before)
+        return;
+    log_event(
+        log_level::warning, "runs_missing",
+        {{"runs", tracker_.missing_runs() - before},
+         {"running", listing.running.size()},
+         {"ends", listing.ended.size()}});
+}
+
 void runner_daemon::poll_again()
 {
     is_polling_ = true;
--- a/src/spar-runner/runner_daemon.hpp
+++ b/src/spar-runner/runner_daemon.hpp
@@ -37,6 +37,7 @@
     void list_runs();
     void poll();
     void poll_again();
+    void apply_listing(worker_listing const& listing, poll_call const& call);
     void handle_poll_answer(
         poll_call const& call, platform::poll_answer const& answer);
     void pace();
