Take no run as gone that a cut list lacks

Cause: a worker lists at most 500 ends that aren't acknowledged. Without the store none is acknowledged. A run whose end is beyond the list is neither running nor ended on it; the runner took it as gone, and the scheduler queued its task again. The same for a start that was being revoked, and for a runner or leader that is new: its first list counted as complete.

Change: the reader of a worker's answer marks a list that may be cut. What such a list lacks stays as it is, and the runs don't count as listed. The scheduler takes ends also from reports whose runs aren't listed yet, else none would ever be acknowledged and the list never become whole.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -257,9 +257,11 @@
     }
     worker.has_new_token = false;
     worker.confirm_orders(report.last_order);
+    // A worker with many ends lists the others, and then its runs, only once
+    // the first ones are acknowledged.
+    process_ends(worker, report, now);
     if (!report.is_listed)
         return;
-    process_ends(worker, report, now);
     for (auto const& refusal : report.refusals)
         end_run(worker, refusal.run, run_end::refused, {}, now);
     process_runs(worker, report, now);
--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -421,6 +421,9 @@
     }
     for (auto const& each : listing.running)
         apply_listed_run(each, listing.at);
+    // The runs that are missing may be among the ends that are yet to come.
+    if (!listing.has_all_ends)
+        return;
     drop_missing_runs(listing);
     if (call.token != token_ || is_listed_)
         return;
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -124,6 +124,9 @@
     std::vector<listed_run> running;
     /// The ends that aren't acknowledged, by number.
     std::vector<end_report> ended;
+    /// False if the worker may have more of them than it lists at once. A run
+    /// that the list lacks may then have ended.
+    bool has_all_ends = true;
 };
 
 /// A run as the runner tracks it.
--- a/src/libsycamorespar/runner_messages.hpp
+++ b/src/libsycamorespar/runner_messages.hpp
@@ -132,7 +132,8 @@
     scheduler_term term;
     /// The token that the runner uses; zero before the first.
     std::uint64_t token = 0;
-    /// True if the lists are complete and were fetched under that token.
+    /// True if the lists are complete and were fetched under that token. The
+    /// ends below are facts in any case.
     bool is_listed = false;
     /// False if the worker doesn't answer its runner.
     bool is_reachable = true;
--- a/tests/graph_scheduler_test.cpp
+++ b/tests/graph_scheduler_test.cpp
@@ -109,6 +109,29 @@
     CHECK(w.scheduler.phase_of(job_id{"j1"}) == job_phase::completed);
 }
 
+// A worker with more ends than it lists at once could never list its runs, as
+// no end was acknowledged before that.
+TEST_CASE("ends are acknowledged before the runs are listed")
+{
+    world w;
+    test_runner a("a");
+    a.join(w.scheduler, w.now);
+    w.add(test_job("j1", "urgent", test_step(1, one_core)));
+    auto const starts = starts_in(w.step(a));
+    REQUIRE(starts.size() == 1);
+    // The runner restarts, and receives its token.
+    a.report.runner = incarnation{2};
+    a.exchange(w.scheduler, w.now);
+    a.end(starts.front().run, run_end::finished);
+    a.report.is_listed = false;
+    ++a.report.sequence;
+    w.scheduler.on_report(a.report, w.now);
+    record_all(w.scheduler);
+    CHECK(
+        w.scheduler.reply_to(a.report.worker, w.now, true).ended_through == 1);
+    CHECK(w.scheduler.phase_of(job_id{"j1"}) == job_phase::completed);
+}
+
 TEST_CASE("an urgent job goes before a batch job that arrived earlier")
 {
     world w;
--- a/tests/graph_soak_parts.hpp
+++ b/tests/graph_soak_parts.hpp
@@ -44,6 +44,9 @@
     }
 };
 
+/// The most ends that a worker lists at once.
+inline constexpr std::size_t max_listed_ends = 3;
+
 /// A worker that follows the platform's specification.
 struct fake_worker
 {
@@ -179,6 +182,10 @@
             return end.number <= call.ended_through;
         });
         worker_listing listing{born, clock(now), {}, ended};
+        if (ended.size() >= max_listed_ends) {
+            listing.ended.resize(max_listed_ends);
+            listing.has_all_ends = false;
+        }
         for (auto const& [run, live] : running)
             listing.running.push_back(
                 {run, "", shows_progress ? percent_of(live, now) : 50, 0});
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -122,6 +122,34 @@
     }
 }
 
+// TWICE: a list of 500 ends, the most that a worker lists at once, counted as
+// complete, so that runs that had ended beyond it started again.
+TEST_CASE("a list with as many ends as fit may lack some")
+{
+    constexpr std::size_t most_ends = 500;
+    auto const list_of = [](std::size_t count) {
+        json ends = json::array();
+        for (std::size_t number = 1; number <= count; ++number)
+            ends.push_back(
+                {number, "5c0e7a21d94b36f8.0.1." + std::to_string(number), 1,
+                 "done", ""});
+        json const body = {
+            {"clock_ms", 482113},
+            {"born", 1},
+            {"running", json::array()},
+            {"ended_runs", ends}};
+        return odd_worker(200, body.dump()).poll().listing;
+    };
+    auto const whole = list_of(most_ends - 1);
+    REQUIRE(whole);
+    CHECK(whole->ended.size() == most_ends - 1);
+    CHECK(whole->has_all_ends);
+    auto const cut = list_of(most_ends);
+    REQUIRE(cut);
+    CHECK(cut->ended.size() == most_ends);
+    CHECK_FALSE(cut->has_all_ends);
+}
+
 // Processes that end by themselves: the leader and the runners, by a stack
 // overflow.
 TEST_CASE("a deeply nested report or reply is an error")
@@ -312,9 +340,10 @@
     bool is_lost = false;
     scheduling_term const term(
         loop, store, scheduler_term{kv.revision()}, {}, {},
-        {[] {},
-         [&] {
-             is_lost = true;
+        {[] {}, [&] { is_lost = true; },
+         [] { return std::chrono::nanoseconds(0); },
+         [] {
+             return event_loop::now();
          }});
     CHECK(run_until(loop, [&] {
         return is_lost ||
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -57,6 +57,17 @@
             tracker.next_poll(), now);
     }
 
+    /// A list that is cut: the worker has more ends than it holds.
+    void
+    list_part(std::vector<listed_run> running, std::vector<end_report> ended)
+    {
+        worker_listing listing{
+            facts.incarnation.born, tracker.clock_at_least(now) + 1ms,
+            std::move(running), std::move(ended)};
+        listing.has_all_ends = false;
+        tracker.on_listing(listing, tracker.next_poll(), now);
+    }
+
     void order_start()
     {
         start_order order;
@@ -369,6 +380,53 @@
     CHECK_FALSE(f.has_run());
 }
 
+// TWICE: a runner that had restarted, and was granted no lease, took the runs
+// of a worker that didn't answer as gone, though the process before it had
+// extended their lease.
+// TWICE: tasks that had ended started again, as their ends were beyond those
+// that a worker lists at once (review, case 2).
+TEST_CASE("a run that a cut list lacks is not taken as gone")
+{
+    fixture f;
+    f.join();
+    f.order_start();
+    f.tracker.take_starts(f.now);
+    SECTION("while it is running")
+    {
+        f.tracker.on_start_result(run, call_outcome::accepted, 10'000ms, f.now);
+    }
+    SECTION("while its start is being revoked")
+    {
+        f.tracker.on_start_result(run, call_outcome::unknown, 0ms, f.now);
+        f.order_stop();
+        f.tracker.on_stop_result(run, call_outcome::accepted, 10'000ms, f.now);
+    }
+    f.now += 100ms;
+    f.list_part({}, {{1, {{job_id{"j2"}, 0, 0, 0}, 1}, run_end::finished, ""}});
+    CHECK(f.has_run());
+    CHECK(f.report().refusals.empty());
+    f.now += 100ms;
+    f.list({}, {{2, run, run_end::finished, ""}});
+    auto const reported = f.report();
+    CHECK(reported.runs.empty());
+    CHECK(reported.refusals.empty());
+    CHECK(reported.ends.size() == 2);
+}
+
+// TWICE: the same for a runner that restarts, or a leader that is new.
+TEST_CASE("the runs are not listed before the worker has listed all its ends")
+{
+    fixture f;
+    f.reply(f.report().sequence);
+    f.list_part({}, {{1, run, run_end::finished, ""}});
+    auto const reported = f.report();
+    CHECK_FALSE(reported.is_listed);
+    CHECK(reported.ends.size() == 1);
+    f.now += 100ms;
+    f.list({}, {});
+    CHECK(f.report().is_listed);
+}
+
 // TWICE: a runner that had restarted, and was granted no lease, took the runs
 // of a worker that didn't answer as gone, though the process before it had
 // extended their lease.
