Log runs that are lost with their worker's incarnation

Of the ways in which a leader gives up runs without their ends, two have an event (lease_lapsed, runs_missing). The third, a worker that has left or is another incarnation, shows as run_ended how=lost only, so that the hypotheses for TWICE can't be told apart. New event worker_gone; no decision is changed.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -279,6 +279,7 @@
     worker.has_new_token = false;
     worker.confirm_orders(report.last_order);
     process_ends(worker, report, now);
+    emit_loss(scheduling_event::kind::worker_gone, worker, now);
     end_all_runs(worker, now);
     worker.orders.clear();
     worker.is_listed = false;
@@ -290,6 +291,7 @@
 void graph_scheduler::begin_incarnation(
     registered_worker& worker, runner_report const& report, monotonic_time now)
 {
+    emit_loss(scheduling_event::kind::worker_gone, worker, now);
     end_all_runs(worker, now);
     worker.ends.clear();
     worker.last_end = 0;
@@ -648,7 +650,7 @@
     for (auto& [id, worker] : workers_.all()) {
         if (!has_lapsed(worker, confirmed_at) || worker.runs.empty())
             continue;
-        emit_lapse(worker, now);
+        emit_loss(scheduling_event::kind::lease_lapsed, worker, now);
         end_all_runs(worker, now);
         worker.orders.clear();
         worker.is_listed = false;
@@ -1001,11 +1003,16 @@
         {scheduling_event::kind::job_ended, run, {}, {}, phase, 0});
 }
 
-void graph_scheduler::emit_lapse(
-    registered_worker const& worker, monotonic_time now)
+// Each way of losing runs without their ends has an event of its own: what a
+// run's end alone shows is the same for all.
+void graph_scheduler::emit_loss(
+    scheduling_event::kind type, registered_worker const& worker,
+    monotonic_time now)
 {
+    if (worker.runs.empty())
+        return;
     scheduling_event event;
-    event.type = scheduling_event::kind::lease_lapsed;
+    event.type = type;
     event.worker = worker.id;
     event.lost_runs = worker.runs.size();
     event.silence = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -118,13 +118,16 @@
         run_ended,
         /// The lease of a worker that had runs has lapsed; the runs are lost.
         lease_lapsed,
+        /// A worker that had runs has left, or another incarnation of it has
+        /// begun; the runs are lost.
+        worker_gone,
         /// A job has ended; the end is not written to the store yet.
         job_ended
     };
     /// What happened.
     kind type = kind::run_ordered;
-    /// The run; only its job is set for job_ended, none for session_began and
-    /// lease_lapsed.
+    /// The run; only its job is set for job_ended, none for session_began,
+    /// lease_lapsed and worker_gone.
     run_id run;
     /// The worker of the run, the session or the lease.
     worker_id worker;
@@ -134,9 +137,10 @@
     job_phase phase = job_phase::queued;
     /// Orders that no report had confirmed; only for session_began.
     std::size_t void_orders = 0;
-    /// The number of runs that are lost; only for lease_lapsed.
+    /// The number of runs that are lost; only for lease_lapsed and worker_gone.
     std::size_t lost_runs = 0;
-    /// The time since the worker's last report; only for lease_lapsed.
+    /// The time since the worker's last report; only for lease_lapsed and
+    /// worker_gone.
     std::chrono::milliseconds silence{0};
 };
 
@@ -285,7 +289,9 @@
     void stop_copies(job_entry const& job, task_id const& task);
     void mark_changed(job_id const& job);
     void emit_job_end(job_entry const& job);
-    void emit_lapse(registered_worker const& worker, monotonic_time now);
+    void emit_loss(
+        scheduling_event::kind type, registered_worker const& worker,
+        monotonic_time now);
     void end_run(
         registered_worker& worker, run_id const& run, run_end how,
         std::string const& checkpoint, monotonic_time now);
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -316,6 +316,13 @@
         case kind::lease_lapsed:
             log_lapse(event);
             break;
+        case kind::worker_gone:
+            log_event(
+                log_level::warning, "worker_gone",
+                {{"worker", event.worker.value},
+                 {"runs", event.lost_runs},
+                 {"silent_ms", event.silence.count()}});
+            break;
         case kind::run_ordered:
             log_run(event, "run_ordered", "start");
             break;
