--- /dev/null
+++ b/tests/process_soak_test.cpp
@@ -0,0 +1,102 @@
+/// Soak of real processes: no task runs twice and every accepted job ends,
+/// while the store, the leader, runners and workers fail in overlapping series.
+///
+/// Environment: SOAK_SEEDS (how many), SOAK_FIRST_SEED, SOAK_FAULT_SECONDS,
+/// SOAK_FAULTS (names of kinds, separated by commas), SOAK_PROGRAMS and
+/// SOAK_TEMPLATES (folders of another build), SOAK_KEEP (a folder that keeps
+/// settings, logs and events).
+#include "process_soak.hpp"
+#include "standins/program.hpp"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+
+using namespace sycamorespar;
+using namespace sycamorespar::tests;
+
+namespace {
+
+std::string setting(char const* name, std::string const& usual)
+{
+    char const* const given = std::getenv(name);
+    return given == nullptr ? usual : given;
+}
+
+/// A folder for one seed, removed at the end unless it is to be kept.
+class soak_folder
+{
+public:
+    explicit soak_folder(std::uint64_t seed)
+    {
+        auto const kept = setting("SOAK_KEEP", "");
+        is_kept_ = !kept.empty();
+        auto const parent = is_kept_ ? std::filesystem::path(kept)
+                                     : std::filesystem::temp_directory_path();
+        auto const name = "process-soak-" + std::to_string(::getpid()) + "-" +
+                          std::to_string(seed);
+        path_ = parent / name;
+        std::filesystem::create_directories(path_);
+    }
+    ~soak_folder()
+    {
+        std::error_code ignored;
+        if (!is_kept_)
+            std::filesystem::remove_all(path_, ignored);
+    }
+    soak_folder(soak_folder const&) = delete;
+    soak_folder& operator=(soak_folder const&) = delete;
+
+    std::string path() const { return path_.string(); }
+
+private:
+    std::filesystem::path path_;
+    bool is_kept_ = false;
+};
+
+/// Runs one seed, and fails where a rule was broken.
+void run_seed(std::uint64_t seed, process_soak_limits const& limits)
+{
+    soak_folder const folder(seed);
+    standins::deployment_settings settings;
+    settings.programs = setting("SOAK_PROGRAMS", SOAK_PROGRAM_DIR);
+    settings.templates = setting("SOAK_TEMPLATES", SOAK_TEMPLATE_DIR);
+    settings.folder = folder.path();
+    settings.seed = seed;
+    process_soak soak(seed, settings, limits);
+    soak.run();
+    WARN(
+        "seed " << seed << ": " << soak.accepted() << " jobs accepted, "
+                << soak.runs() << " runs, " << soak.violations().size()
+                << " violations");
+    for (auto const& each : soak.violations())
+        UNSCOPED_INFO(each);
+    CHECK(soak.violations().empty());
+    CHECK(soak.accepted() > 0);
+}
+
+} // namespace
+
+TEST_CASE("no task runs twice as processes, the store and workers fail")
+{
+    auto const seeds = std::stoul(setting("SOAK_SEEDS", "1"));
+    auto const first = std::stoul(setting("SOAK_FIRST_SEED", "1"));
+    process_soak_limits limits;
+    limits.faults =
+        std::chrono::seconds(std::stoul(setting("SOAK_FAULT_SECONDS", "15")));
+    for (auto const& kind : standins::split_list(setting("SOAK_FAULTS", "")))
+        limits.kinds.insert(kind);
+    for (auto seed = first; seed < first + seeds; ++seed)
+        run_seed(seed, limits);
+}
+
+// TWICE: a runner believed announcements whose service no configuration names.
+// The runs of its worker were lost for the leader, and started elsewhere.
+TEST_CASE("announcements of another writer make no task run twice")
+{
+    constexpr std::uint64_t seed = 102;
+    process_soak_limits limits;
+    limits.quiet = std::chrono::seconds(3);
+    limits.kinds = {"odd-announcement"};
+    run_seed(seed, limits);
+}
--- /dev/null
+++ b/tests/standins/deployment/deployment.hpp
@@ -0,0 +1,108 @@
+/// The whole system as real processes on loopback addresses: schedulers and
+/// runners as they are built, with a store, workers and proxies of the test.
+#ifndef SYCAMORESPAR_TESTS_STANDINS_DEPLOYMENT_DEPLOYMENT_HPP
+#define SYCAMORESPAR_TESTS_STANDINS_DEPLOYMENT_DEPLOYMENT_HPP
+
+#include "common/event_loop.hpp"
+#include "standins/deployment/managed_process.hpp"
+#include "standins/kv/kv_service.hpp"
+#include "standins/platform_worker/platform_worker.hpp"
+#include "standins/proxy/loopback_proxy.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sycamorespar::standins {
+
+/// Where a deployment finds its programs, and how large it is.
+struct deployment_settings
+{
+    /// Folder of spar-scheduler and spar-runner.
+    std::string programs;
+    /// Folder of their settings templates.
+    std::string templates;
+    /// Folder for settings and logs; must exist.
+    std::string folder;
+    /// Number of schedulers.
+    std::size_t schedulers = 3;
+    /// Number of runners, each with a worker.
+    std::size_t runners = 6;
+    /// Seed of the workers.
+    std::uint64_t seed = 1;
+};
+
+/// A machine of ours: a process, and its way to the store.
+struct deployed_machine
+{
+    /// Its process.
+    std::unique_ptr<managed_process> process;
+    /// Its connections to the store.
+    std::unique_ptr<loopback_proxy> store;
+    /// Its address.
+    std::string address;
+};
+
+/// Starts, signals and ends the processes; the network of a deployment is a
+/// part of 127.0.0.0/8 of its own.
+class deployment
+{
+public:
+    /// The path under which callers hand jobs in.
+    static constexpr char const* prefix = "/jobs/";
+
+    deployment(event_loop& loop, deployment_settings settings);
+
+    /// Starts everything.
+    /// \return done; or the first error.
+    result<done> start();
+    /// Writes the next version of the configuration.
+    void change_configuration();
+    /// The scheduler that the store names as the leader; none if there is none.
+    std::optional<std::size_t> leader();
+    /// Where callers reach a scheduler.
+    endpoint callers_of(std::size_t scheduler) const;
+    /// The schedulers.
+    std::vector<deployed_machine>& schedulers() { return schedulers_; }
+    /// The runners.
+    std::vector<deployed_machine>& runners() { return runners_; }
+    /// The workers, each beside the runner of the same position.
+    std::vector<std::unique_ptr<platform_worker>>& workers()
+    {
+        return workers_;
+    }
+    /// The store.
+    kv_service& store() { return store_; }
+    /// What became of the runs.
+    run_history& history() { return history_; }
+
+private:
+    result<done> listen_store();
+    result<done>
+    add_machine(std::vector<deployed_machine>& to, std::string const& program);
+    result<done> write_settings(
+        std::string const& template_file, std::string const& path,
+        std::map<std::string, std::string> const& values) const;
+    std::map<std::string, std::string>
+    settings_of(std::string const& name, std::string const& address) const;
+    void add_worker(std::size_t index);
+
+    event_loop& loop_;
+    deployment_settings settings_;
+    run_history history_;
+    kv_service store_;
+    /// The first three bytes of all addresses, as text.
+    std::string network_;
+    std::vector<deployed_machine> schedulers_;
+    std::vector<deployed_machine> runners_;
+    std::vector<std::unique_ptr<platform_worker>> workers_;
+    std::uint64_t version_ = 0;
+};
+
+} // namespace sycamorespar::standins
+
+#endif
--- /dev/null
+++ b/tests/standins/platform_worker/platform_worker.cpp
@@ -0,0 +1,441 @@
+/// Ends carry the time at which they were due, in that order, however late the
+/// loop processes them: on a busy machine a lease must not seem to have lasted
+/// longer than it did.
+#include "standins/platform_worker/platform_worker.hpp"
+
+#include <algorithm>
+#include <boost/random/uniform_01.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <sstream>
+#include <utility>
+
+namespace sycamorespar::standins {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_misdirected = 421;
+
+constexpr milliseconds tick_period{5};
+constexpr milliseconds longest_wait{2000};
+constexpr milliseconds least_delay{2000};
+constexpr milliseconds longest_delay{12'000};
+
+/// No exchange has this number, so that a response to it goes nowhere.
+constexpr exchange_id no_exchange = 0;
+
+struct payload
+{
+    std::int64_t millicores = 0;
+    std::int64_t run_time_ms = 0;
+    std::size_t failures = 0;
+};
+
+payload read_payload(std::string const& text)
+{
+    payload read;
+    std::istringstream(text) >> read.millicores >> read.run_time_ms >>
+        read.failures;
+    return read;
+}
+
+milliseconds since(monotonic_time begin, monotonic_time now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - begin);
+}
+
+http_client_limits announcement_limits()
+{
+    http_client_limits limits;
+    limits.timeout = milliseconds(1000);
+    limits.max_connections = 4;
+    return limits;
+}
+
+} // namespace
+
+platform_worker::platform_worker(
+    event_loop& loop, run_history& history, platform_worker_settings settings,
+    std::uint64_t seed)
+    : loop_(loop), history_(history), settings_(std::move(settings)),
+      random_(seed), runner_(loop, settings_.runner, announcement_limits()),
+      alive_(std::make_shared<bool>(true))
+{
+    timer_ = loop_.every(tick_period, [this] { tick(); });
+}
+
+platform_worker::~platform_worker()
+{
+    loop_.cancel(timer_);
+}
+
+result<done> platform_worker::start(std::optional<std::string> const& id)
+{
+    settings_.id = id.value_or(settings_.id);
+    ++life_;
+    born_at_ = event_loop::now();
+    born_ms_ = std::chrono::duration_cast<milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count();
+    sequence_ = 0;
+    next_announcement_ = born_at_;
+    token_ = 0;
+    lease_end_ms_ = 0;
+    next_end_ = 1;
+    ends_.clear();
+    runs_.clear();
+    highest_ended_.clear();
+    waiting_.clear();
+    server_ = std::make_unique<http_server>(
+        loop_, http_server_limits{},
+        [this](exchange_id exchange, http_request const& request) {
+            handle(exchange, request);
+        });
+    auto const listening = server_->listen(settings_.address);
+    if (!ok(listening))
+        return failure(listening);
+    return done{};
+}
+
+void platform_worker::crash()
+{
+    auto const now = event_loop::now();
+    advance(now);
+    for (auto const& [task, run] : runs_) {
+        auto& record = history_.at(run.record);
+        record.ended = now;
+        record.how = "crashed";
+    }
+    runs_.clear();
+    ends_.clear();
+    waiting_.clear();
+    server_.reset();
+}
+
+void platform_worker::delay_orders(double share, monotonic_time until)
+{
+    late_share_ = share;
+    late_until_ = until;
+}
+
+std::int64_t platform_worker::clock_ms() const
+{
+    return since(born_at_, event_loop::now()).count() + 1;
+}
+
+json platform_worker::make_announcement()
+{
+    return {
+        {"service", settings_.service},
+        {"address", to_string(settings_.address)},
+        {"zone", settings_.domain},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", "ready"},
+        {"cold_remaining_ms", 0},
+        {"capacity",
+         {{"cpu", settings_.millicores},
+          {"mem_mb", settings_.memory_mb},
+          {"gpu", 0}}},
+        {"labels", {"a", settings_.rack}},
+        {"clock_ms", clock_ms()},
+        {"born", born_ms_},
+        {"sequence", ++sequence_}};
+}
+
+void platform_worker::announce(std::string const& id, json const& body)
+{
+    runner_.call(
+        {"PUT",
+         "/-/minions/" + id,
+         {{"Content-Type", "application/json"}},
+         body.dump()},
+        [](auto const&) {});
+}
+
+void platform_worker::tick()
+{
+    if (!is_up())
+        return;
+    auto const now = event_loop::now();
+    advance(now);
+    if (now >= next_announcement_) {
+        next_announcement_ = now + settings_.announcement_period;
+        announce(settings_.id, make_announcement());
+    }
+    auto const waiting = std::exchange(waiting_, {});
+    for (auto const& each : waiting) {
+        if (!ends_.empty() || now >= each.until)
+            answer_poll(each.exchange);
+        else
+            waiting_.push_back(each);
+    }
+}
+
+std::optional<platform_worker::due_end>
+platform_worker::next_end(monotonic_time now) const
+{
+    std::optional<due_end> first;
+    auto const consider = [&](monotonic_time at, std::string const& task,
+                              std::string const& how) {
+        if (at <= now && (!first || at < first->at))
+            first = due_end{at, task, how};
+    };
+    for (auto const& [task, run] : runs_) {
+        if (lease_end_ms_ > 0)
+            consider(born_at_ + milliseconds(lease_end_ms_), task, "lapsed");
+        if (run.ends)
+            consider(*run.ends, task, run.end);
+        if (run.stops)
+            consider(*run.stops, task, "stopped");
+    }
+    return first;
+}
+
+void platform_worker::advance(monotonic_time now)
+{
+    while (auto const due = next_end(now))
+        end_run(*due);
+    if (lease_end_ms_ > 0 && born_at_ + milliseconds(lease_end_ms_) <= now)
+        mark_void_ends(born_at_ + milliseconds(lease_end_ms_));
+}
+
+// The lease lapses whether or not something runs then.
+void platform_worker::mark_void_ends(monotonic_time lapsed_at)
+{
+    for (auto const& each : ends_) {
+        auto& record = history_.at(each.record);
+        record.is_void = record.is_void || *record.ended <= lapsed_at;
+    }
+}
+
+void platform_worker::end_run(due_end const& due)
+{
+    auto const found = runs_.find(due.task);
+    auto const run = found->second;
+    runs_.erase(found);
+    auto& highest = highest_ended_[due.task];
+    highest = std::max(highest, run.number);
+    auto& record = history_.at(run.record);
+    record.ended = due.at;
+    record.how = due.how;
+    ends_.push_back({next_end_++, run.number, due.how, run.record});
+}
+
+void platform_worker::handle(exchange_id exchange, http_request const& request)
+{
+    auto const* const expected =
+        find_header(request.headers, "X-Expected-Instance");
+    if (expected != nullptr && *expected != settings_.id) {
+        respond(exchange, status_misdirected, json::object());
+        return;
+    }
+    auto const order = json::parse(request.body, nullptr, false);
+    if (!order.is_object()) {
+        respond(exchange, status_bad_request, json::object());
+        return;
+    }
+    auto const path = target_path(request.target);
+    boost::random::uniform_01<double> share;
+    if (event_loop::now() >= late_until_ || share(random_) >= late_share_) {
+        carry_out(exchange, path, order, false);
+        return;
+    }
+    boost::random::uniform_int_distribution<std::int64_t> delay(
+        least_delay.count(), longest_delay.count());
+    std::weak_ptr<bool> const guard = alive_;
+    loop_.after(
+        milliseconds(delay(random_)), [this, guard, path, order, life = life_] {
+            if (!guard.expired() && is_up() && life == life_)
+                carry_out(no_exchange, path, order, true);
+        });
+}
+
+void platform_worker::carry_out(
+    exchange_id exchange, std::string const& path, json const& order,
+    bool is_late)
+{
+    advance(event_loop::now());
+    if (path == "/-/run-start")
+        start_run(exchange, order, is_late);
+    else if (path == "/-/run-stop")
+        stop_run(exchange, order);
+    else if (path == "/-/hold")
+        poll(exchange, order);
+    else
+        respond(
+            exchange, path == "/-/pace" ? status_ok : status_not_found,
+            json::object());
+}
+
+bool platform_worker::accept_token(json const& order)
+{
+    auto const token = order.value("fencing_token", std::uint64_t{0});
+    if (token < token_)
+        return false;
+    token_ = token;
+    return true;
+}
+
+void platform_worker::extend_lease(json const& order)
+{
+    auto const wanted = order.value("deadline_ms", std::int64_t{0});
+    lease_end_ms_ = std::max(
+        lease_end_ms_,
+        std::min(wanted, clock_ms() + settings_.max_lease.count()));
+}
+
+char const* platform_worker::reason_to_refuse(
+    std::string const& task, std::uint32_t run) const
+{
+    auto const live = runs_.find(task);
+    auto const ended = highest_ended_.find(task);
+    bool const is_old = (live != runs_.end() && live->second.number > run) ||
+                        (ended != highest_ended_.end() && run <= ended->second);
+    return is_old ? "old" : nullptr;
+}
+
+void platform_worker::start_run(
+    exchange_id exchange, json const& order, bool is_late)
+{
+    if (!accept_token(order)) {
+        refuse(exchange, "fence");
+        return;
+    }
+    if (order.value("deadline_ms", std::int64_t{0}) < clock_ms()) {
+        refuse(exchange, "late");
+        return;
+    }
+    extend_lease(order);
+    auto const task = order.at("task").get<std::string>();
+    auto const number = order.at("run").get<std::uint32_t>();
+    auto const live = runs_.find(task);
+    if (live != runs_.end() && live->second.number == number) {
+        respond(exchange, status_ok, json::object());
+        return;
+    }
+    if (auto const* const reason = reason_to_refuse(task, number)) {
+        refuse(exchange, reason);
+        return;
+    }
+    auto const asked = read_payload(order.value("spec", std::string()));
+    std::int64_t used = 0;
+    for (auto const& [other, run] : runs_)
+        used += run.millicores;
+    if (used + asked.millicores > settings_.millicores) {
+        refuse(exchange, "room");
+        return;
+    }
+    auto const now = event_loop::now();
+    live_run run;
+    run.number = number;
+    run.millicores = asked.millicores;
+    run.began = now;
+    if (asked.run_time_ms > 0)
+        run.ends = now + milliseconds(asked.run_time_ms);
+    run_record record;
+    record.worker = settings_.machine;
+    record.life = life_;
+    record.number = number;
+    record.token = token_;
+    record.is_late = is_late;
+    record.began = now;
+    run.record = history_.add(task, std::move(record));
+    if (run.record.index < asked.failures)
+        run.end = "failed";
+    runs_[task] = run;
+    respond(exchange, status_ok, json::object());
+}
+
+void platform_worker::stop_run(exchange_id exchange, json const& order)
+{
+    if (!accept_token(order)) {
+        refuse(exchange, "fence");
+        return;
+    }
+    auto const task = order.at("task").get<std::string>();
+    auto const number = order.at("run").get<std::uint32_t>();
+    auto const live = runs_.find(task);
+    if (live == runs_.end() || live->second.number != number) {
+        auto& highest = highest_ended_[task];
+        highest = std::max(highest, number);
+    } else if (!live->second.stops) {
+        live->second.stops = event_loop::now() + settings_.stop_time;
+    }
+    respond(exchange, status_ok, json::object());
+}
+
+void platform_worker::poll(exchange_id exchange, json const& order)
+{
+    if (!accept_token(order)) {
+        refuse(exchange, "fence");
+        return;
+    }
+    extend_lease(order);
+    acknowledge(order.value("last_seen", std::uint64_t{0}));
+    auto const wait = std::min(
+        milliseconds(order.value("wait_ms", std::int64_t{0})), longest_wait);
+    if (!ends_.empty() || wait == milliseconds::zero())
+        answer_poll(exchange);
+    else
+        waiting_.push_back({exchange, event_loop::now() + wait});
+}
+
+void platform_worker::acknowledge(std::uint64_t through)
+{
+    auto const now = event_loop::now();
+    for (auto const& each : ends_) {
+        if (each.number <= through)
+            history_.at(each.record).acknowledged = now;
+    }
+    std::erase_if(
+        ends_, [&](listed_end const& each) { return each.number <= through; });
+}
+
+void platform_worker::answer_poll(exchange_id exchange)
+{
+    constexpr std::int64_t whole = 100;
+    auto const now = event_loop::now();
+    json running = json::array();
+    for (auto const& [task, run] : runs_) {
+        auto percent = whole;
+        if (run.ends)
+            percent =
+                whole * since(run.began, now).count() /
+                std::max<std::int64_t>(since(run.began, *run.ends).count(), 1);
+        running.push_back(
+            {task, run.number, "", std::min(percent, whole), run.millicores});
+    }
+    json ended = json::array();
+    for (auto const& each : ends_) {
+        if (ended.size() == settings_.max_listed_ends)
+            break;
+        ended.push_back(
+            {each.number, each.record.task, each.run, each.how, ""});
+    }
+    respond(
+        exchange, status_ok,
+        {{"running", std::move(running)}, {"ended_runs", std::move(ended)}});
+}
+
+void platform_worker::respond(exchange_id exchange, int status, json body)
+{
+    body["clock_ms"] = clock_ms();
+    body["born"] = born_ms_;
+    server_->respond(
+        exchange,
+        {status, {{"Content-Type", "application/json"}}, body.dump()});
+}
+
+void platform_worker::refuse(exchange_id exchange, char const* reason)
+{
+    respond(exchange, status_conflict, {{"reason", reason}});
+}
+
+} // namespace sycamorespar::standins
--- /dev/null
+++ b/tests/standins/platform_worker/run_history.cpp
@@ -0,0 +1,80 @@
+/// An end that was acknowledged is final, and so is one that is acknowledged
+/// after the later run has begun: the run should not have been given out before
+/// the fate of the earlier one was known.
+#include "standins/platform_worker/run_history.hpp"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sycamorespar::standins {
+
+namespace {
+
+constexpr char const* done_end = "done";
+
+double seconds(monotonic_time at)
+{
+    return std::chrono::duration<double>(at.time_since_epoch()).count();
+}
+
+std::string describe(run_record const& run)
+{
+    auto const time = [](std::optional<monotonic_time> const& at) {
+        return at ? fmt::format("{:.3f}", seconds(*at)) : std::string("-");
+    };
+    return fmt::format(
+        "[run {} on {} life {}, token {}, late {}, began {:.3f}, ended {} {}, "
+        "acknowledged {}]",
+        run.number, run.worker, run.life, run.token, run.is_late,
+        seconds(run.began), time(run.ended), run.how, time(run.acknowledged));
+}
+
+} // namespace
+
+run_history::position run_history::add(std::string const& task, run_record run)
+{
+    auto& runs = tasks_[task];
+    runs.push_back(std::move(run));
+    ++size_;
+    return {task, runs.size() - 1};
+}
+
+run_record& run_history::at(position const& where)
+{
+    return tasks_.at(where.task).at(where.index);
+}
+
+std::vector<std::string> run_history::find_duplicates() const
+{
+    std::vector<std::string> found;
+    for (auto const& [task, runs] : tasks_) {
+        for (auto later = runs.begin(); later != runs.end(); ++later) {
+            for (auto earlier = runs.begin(); earlier != later; ++earlier) {
+                bool const at_once =
+                    !earlier->ended || later->began < *earlier->ended;
+                bool const is_repeated = !at_once && earlier->how == done_end &&
+                                         earlier->acknowledged &&
+                                         !earlier->is_void;
+                if (at_once || is_repeated)
+                    found.push_back(fmt::format(
+                        "{}: {} {} {} {}", task,
+                        at_once ? "two runs at once:"
+                                : "started after an acknowledged end as done:",
+                        describe(*later), at_once ? "while" : "after",
+                        describe(*earlier)));
+            }
+        }
+    }
+    return found;
+}
+
+bool run_history::is_done(std::string const& task) const
+{
+    auto const found = tasks_.find(task);
+    return found != tasks_.end() &&
+           std::any_of(
+               found->second.begin(), found->second.end(),
+               [](run_record const& run) { return run.how == done_end; });
+}
+
+} // namespace sycamorespar::standins
--- /dev/null
+++ b/tests/standins/proxy/loopback_proxy.cpp
@@ -0,0 +1,212 @@
+/// A request that is to be delayed must arrive in one piece; the calls of our
+/// clients do.
+#include "standins/proxy/loopback_proxy.hpp"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace sycamorespar::standins {
+
+namespace {
+
+constexpr int backlog = 64;
+
+sockaddr_in to_address(endpoint const& where)
+{
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(where.port);
+    inet_pton(AF_INET, where.address.c_str(), &out.sin_addr);
+    return out;
+}
+
+void reset_on_close(int descriptor)
+{
+    linger const at_once{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+bufferevent* connect_to(event_loop& loop, endpoint const& where)
+{
+    auto* const stream =
+        bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    auto const address = to_address(where);
+    bufferevent_socket_connect(
+        stream, reinterpret_cast<sockaddr const*>(&address), sizeof address);
+    return stream;
+}
+
+} // namespace
+
+struct loopback_proxy::connection
+{
+    loopback_proxy& owner;
+    bufferevent* near = nullptr;
+    bufferevent* far = nullptr;
+    bool is_silent = false;
+
+    connection(loopback_proxy& of, int descriptor)
+        : owner(of), near(bufferevent_socket_new(
+                         of.loop_.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
+          far(connect_to(of.loop_, of.target_))
+    {
+        bufferevent_setcb(near, &on_read, nullptr, &on_event, this);
+        bufferevent_setcb(far, &on_read, nullptr, &on_event, this);
+        bufferevent_enable(near, EV_READ | EV_WRITE);
+        bufferevent_enable(far, EV_READ | EV_WRITE);
+    }
+    ~connection()
+    {
+        bufferevent_free(near);
+        bufferevent_free(far);
+    }
+    connection(connection const&) = delete;
+    connection& operator=(connection const&) = delete;
+
+    static void on_read(bufferevent* from, void* argument)
+    {
+        auto& self = *static_cast<connection*>(argument);
+        auto* const input = bufferevent_get_input(from);
+        if (self.is_silent) {
+            evbuffer_drain(input, evbuffer_get_length(input));
+            return;
+        }
+        if (from == self.far) {
+            evbuffer_add_buffer(bufferevent_get_output(self.near), input);
+            return;
+        }
+        if (!self.owner.delayed_text_.empty()) {
+            std::string request(evbuffer_get_length(input), '\0');
+            evbuffer_copyout(input, request.data(), request.size());
+            if (self.owner.is_delayed(request)) {
+                self.is_silent = true;
+                evbuffer_drain(input, request.size());
+                self.owner.send_later(request);
+                return;
+            }
+        }
+        evbuffer_add_buffer(bufferevent_get_output(self.far), input);
+    }
+
+    static void on_event(bufferevent*, short what, void* argument)
+    {
+        auto& self = *static_cast<connection*>(argument);
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+            self.owner.close(self, false);
+    }
+};
+
+loopback_proxy::loopback_proxy(event_loop& loop, endpoint target)
+    : loop_(loop), target_(std::move(target)),
+      alive_(std::make_shared<bool>(true))
+{}
+
+loopback_proxy::~loopback_proxy()
+{
+    for (auto* const each : late_)
+        bufferevent_free(each);
+    if (listener_ != nullptr)
+        evconnlistener_free(listener_);
+}
+
+result<done> loopback_proxy::listen(endpoint const& where)
+{
+    auto const address = to_address(where);
+    listener_ = evconnlistener_new_bind(
+        loop_.base(), &on_accepted, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, backlog,
+        reinterpret_cast<sockaddr const*>(&address), sizeof address);
+    if (listener_ == nullptr)
+        return error{"proxy.listen", to_string(where), "can't listen"};
+    return done{};
+}
+
+void loopback_proxy::on_accepted(
+    evconnlistener* /*listener*/, int descriptor, sockaddr* /*peer*/,
+    int /*length*/, void* argument)
+{
+    static_cast<loopback_proxy*>(argument)->open(descriptor);
+}
+
+void loopback_proxy::open(int descriptor)
+{
+    if (mode_ == proxy_mode::reset) {
+        reset_on_close(descriptor);
+        ::close(descriptor);
+        return;
+    }
+    auto made = std::make_unique<connection>(*this, descriptor);
+    made->is_silent = mode_ == proxy_mode::silent;
+    connections_.insert(std::move(made));
+}
+
+void loopback_proxy::close(connection& of, bool with_reset)
+{
+    if (with_reset)
+        reset_on_close(bufferevent_getfd(of.near));
+    std::erase_if(
+        connections_, [&](auto const& each) { return each.get() == &of; });
+}
+
+void loopback_proxy::set_mode(proxy_mode mode)
+{
+    mode_ = mode;
+    if (mode == proxy_mode::reset)
+        reset_connections();
+    else if (mode == proxy_mode::silent)
+        silence_connections();
+}
+
+void loopback_proxy::reset_connections()
+{
+    std::vector<connection*> open;
+    for (auto const& each : connections_)
+        open.push_back(each.get());
+    for (auto* const each : open)
+        close(*each, true);
+}
+
+void loopback_proxy::silence_connections()
+{
+    for (auto const& each : connections_)
+        each->is_silent = true;
+}
+
+void loopback_proxy::delay_next(
+    std::string const& text, std::chrono::milliseconds delay)
+{
+    delayed_text_ = text;
+    delay_ = delay;
+}
+
+bool loopback_proxy::is_delayed(std::string const& request)
+{
+    if (request.find(delayed_text_) == std::string::npos)
+        return false;
+    delayed_text_.clear();
+    return true;
+}
+
+// The answer isn't read: nobody waits for it any more.
+void loopback_proxy::send_later(std::string const& request)
+{
+    std::weak_ptr<bool> const guard = alive_;
+    loop_.after(delay_, [this, guard, request] {
+        if (guard.expired())
+            return;
+        auto* const stream = connect_to(loop_, target_);
+        late_.insert(stream);
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        bufferevent_write(stream, request.data(), request.size());
+    });
+}
+
+} // namespace sycamorespar::standins
--- /dev/null
+++ b/tests/standins/proxy/loopback_proxy.hpp
@@ -0,0 +1,77 @@
+/// A TCP proxy between processes on this machine that can cut connections off.
+#ifndef SYCAMORESPAR_TESTS_STANDINS_PROXY_LOOPBACK_PROXY_HPP
+#define SYCAMORESPAR_TESTS_STANDINS_PROXY_LOOPBACK_PROXY_HPP
+
+#include "common/event_loop.hpp"
+#include "common/http_message.hpp"
+#include "libsycamorespar/result.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+namespace sycamorespar::standins {
+
+/// What a proxy does with connections.
+enum class proxy_mode : std::uint8_t
+{
+    /// Passes the bytes on.
+    pass,
+    /// Resets all connections, and each new one.
+    reset,
+    /// Passes nothing on; connections stay open.
+    silent
+};
+
+/// Listens at one endpoint and passes connections on to another.
+class loopback_proxy
+{
+public:
+    loopback_proxy(event_loop& loop, endpoint target);
+    ~loopback_proxy();
+    loopback_proxy(loopback_proxy const&) = delete;
+    loopback_proxy& operator=(loopback_proxy const&) = delete;
+
+    /// Starts to listen.
+    /// \return done; or an error of step "proxy.listen".
+    result<done> listen(endpoint const& where);
+    /// Changes the mode. Connections that were silent stay so.
+    void set_mode(proxy_mode mode);
+    /// Resets the connections that are open.
+    void reset_connections();
+    /// Silences the connections that are open; new ones work.
+    void silence_connections();
+    /// The next request that contains this text gets no answer, and reaches the
+    /// target after the delay.
+    void delay_next(std::string const& text, std::chrono::milliseconds delay);
+
+private:
+    struct connection;
+
+    static void on_accepted(
+        evconnlistener* listener, int descriptor, sockaddr* peer, int length,
+        void* argument);
+    void open(int descriptor);
+    void close(connection& of, bool with_reset);
+    bool is_delayed(std::string const& request);
+    void send_later(std::string const& request);
+
+    event_loop& loop_;
+    endpoint target_;
+    evconnlistener* listener_ = nullptr;
+    proxy_mode mode_ = proxy_mode::pass;
+    std::set<std::unique_ptr<connection>> connections_;
+    std::set<bufferevent*> late_;
+    std::string delayed_text_;
+    std::chrono::milliseconds delay_{0};
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace sycamorespar::standins
+
+#endif
