Let only a worker's own answers tell which incarnation it is

Cause: an announcement that anybody may send was believed. PROTOCOL.md: a heartbeat may come from another writer, with "a state or service that isn't named here"; "it names no minion to use; the others hold". With a service that no configuration names it passed for a new incarnation of the worker; the leader gave up all runs of the worker and started them elsewhere, while they went on.

Ruled out for the record: a replaced leader (its runs are all of the first term), a list cut at 500 ends (its ends are acknowledged 30 ms after they came).

Change: an announcement of another incarnation is confirmed by a list that the worker answers under that name, with its birth. A runner reports no incarnation before the first list, so that one that has just started can't mislead the leader either. The worker's clock is read from its answers only, no longer from announcements. Found by the simulated soak on the way: an acknowledgement sent to one life and answered by the next was taken as confirmed, and the ends of the next life were never acknowledged.

Tests. run_tracker_test, graph_scheduler_test: new cases.

--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -25,6 +25,12 @@
 /// a single job may fail on every worker.
 constexpr std::size_t min_failing_jobs = 2;
 
+/// False for a runner to which its worker has not listed its runs yet.
+bool is_confirmed(runner_report const& report)
+{
+    return !(report.facts.incarnation == worker_incarnation{});
+}
+
 duration stretched(std::chrono::milliseconds span, double by)
 {
     auto const stretch = static_cast<double>(span.count()) * (1.0 + by);
@@ -216,6 +222,7 @@
 {
     auto& worker = workers_.at(report.worker);
     bool const is_older_incarnation =
+        is_confirmed(report) &&
         report.facts.incarnation.born < worker.facts.incarnation.born;
     bool const is_older_report = worker.runner == report.runner &&
                                  report.sequence <= worker.last_sequence;
@@ -241,12 +248,14 @@
         worker.begin_session(
             report.runner, term_.value * sessions_per_term + ++session_count_);
     }
-    if (!(worker.facts.incarnation == report.facts.incarnation))
-        begin_incarnation(worker, report, now);
-    worker.facts = report.facts;
     worker.last_sequence = report.sequence;
     worker.last_report_at = now;
     worker.is_reachable = report.is_reachable;
+    if (is_confirmed(report)) {
+        if (!(worker.facts.incarnation == report.facts.incarnation))
+            begin_incarnation(worker, report, now);
+        worker.facts = report.facts;
+    }
     if (report.facts.has_left) {
         process_leave(worker, report, now);
         return;
--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -3,6 +3,10 @@
 /// the last attempt it is revoked by a stop, after which the worker refuses
 /// that run number for good. A run is dropped only when a list that was made
 /// later lacks it, or when its lease has lapsed.
+///
+/// Anybody may send an announcement, and it may arrive late, so it proves
+/// nothing: only the worker's own answers tell which incarnation it is, and
+/// what its clock shows.
 #include "libsycamorespar/run_tracker.hpp"
 
 #include <algorithm>
@@ -44,18 +48,24 @@
     : machine_(std::move(machine)), runner_(runner), limits_(limits)
 {}
 
-bool run_tracker::on_announcement(
-    worker_facts const& facts, worker_time at, monotonic_time now)
+bool run_tracker::on_announcement(worker_facts const& facts)
 {
-    if (has_worker_ && facts.incarnation.born < facts_.incarnation.born)
+    bool const is_current =
+        has_worker_ && facts.incarnation == facts_.incarnation;
+    bool const has_ended =
+        is_confirmed_ &&
+        (facts.incarnation.born < facts_.incarnation.born ||
+         // A delayed announcement must not revive a worker that has left.
+         (is_current && facts_.has_left));
+    if (has_ended)
         return false;
-    // A delayed announcement must not revive a worker that has left.
-    if (has_worker_ && facts_.has_left &&
-        facts.incarnation == facts_.incarnation)
-        return false;
-    if (!has_worker_ || !(facts.incarnation == facts_.incarnation))
+    if (!is_current && is_confirmed_) {
+        announced_ = facts;
+        is_confirming_ = false;
+        return true;
+    }
+    if (!is_current)
         begin_incarnation(facts);
-    update_clock(at, now);
     if (!(facts_ == facts))
         has_updates_ = true;
     facts_ = facts;
@@ -67,7 +77,7 @@
 // drain is a late one of an earlier life, which had the same name.
 bool run_tracker::on_leave(std::string const& instance)
 {
-    if (!has_worker_ || facts_.incarnation.instance != instance ||
+    if (!is_confirmed_ || facts_.incarnation.instance != instance ||
         !facts_.is_draining)
         return false;
     facts_.has_left = true;
@@ -80,6 +90,8 @@
 {
     has_worker_ = true;
     facts_ = facts;
+    is_confirmed_ = false;
+    announced_.reset();
     runs_.clear();
     ends_.clear();
     refusals_.clear();
@@ -143,7 +155,10 @@
     report.worker = machine_;
     report.runner = runner_;
     report.sequence = ++sequence_;
-    report.facts = facts_;
+    // What is only announced isn't reported: the scheduler gives up the runs of
+    // an earlier incarnation.
+    if (is_confirmed_)
+        report.facts = facts_;
     report.term = term_;
     report.token = token_;
     report.is_listed = is_listed_;
@@ -300,9 +315,58 @@
     auto const to_forget =
         ended_through_ > forgotten_through_ ? ended_through_ : 0;
     if (!is_reachable_)
-        return {worker_time::zero(), to_forget, token_};
+        return {facts_.incarnation, worker_time::zero(), to_forget, token_};
     sent_until_ = std::max(sent_until_, granted_until_);
-    return {granted_until_, to_forget, token_};
+    return {facts_.incarnation, granted_until_, to_forget, token_};
+}
+
+std::optional<worker_incarnation> run_tracker::confirmed() const
+{
+    return is_confirmed_ ? std::optional(facts_.incarnation) : std::nullopt;
+}
+
+std::optional<poll_call> run_tracker::next_confirmation()
+{
+    if (!announced_ || !may_call() || std::exchange(is_confirming_, true))
+        return std::nullopt;
+    return poll_call{
+        announced_->incarnation, worker_time::zero(), 0, token_, false};
+}
+
+void run_tracker::on_not_confirmed(poll_call const& call, call_outcome result)
+{
+    bool const is_announced =
+        announced_ && announced_->incarnation == call.incarnation;
+    if (!is_announced)
+        return;
+    is_confirming_ = false;
+    if (result == call_outcome::not_sent)
+        announced_.reset();
+}
+
+// An answer of an earlier incarnation may be delayed, so a confirmed one is
+// only followed by one that was born later.
+bool run_tracker::confirm(worker_incarnation const& listed)
+{
+    bool const is_announced =
+        announced_ && announced_->incarnation.instance == listed.instance;
+    bool const is_known = facts_.incarnation.instance == listed.instance;
+    if (!is_known && !is_announced)
+        return false;
+    if (is_confirmed_ && listed.born < facts_.incarnation.born)
+        return false;
+    if (!(listed == facts_.incarnation)) {
+        auto facts = is_known ? facts_ : *announced_;
+        if (is_announced && announced_->incarnation == listed)
+            facts = *announced_;
+        facts.incarnation = listed;
+        facts.has_left = false;
+        begin_incarnation(facts);
+    }
+    if (is_announced)
+        announced_.reset();
+    is_confirmed_ = true;
+    return true;
 }
 
 void run_tracker::on_poll_failed(monotonic_time now)
@@ -390,15 +454,12 @@
 void run_tracker::on_listing(
     worker_listing const& listing, poll_call const& call, monotonic_time now)
 {
-    if (listing.born < facts_.incarnation.born)
+    if (!confirm({call.incarnation.instance, listing.born}))
         return;
-    if (listing.born > facts_.incarnation.born) {
-        auto facts = facts_;
-        facts.incarnation.born = listing.born;
-        begin_incarnation(facts);
-    }
     update_clock(listing.at, now);
-    forgotten_through_ = std::max(forgotten_through_, call.ended_through);
+    // The numbers of ends in a call to an earlier life mean others in this one.
+    if (call.incarnation == facts_.incarnation)
+        forgotten_through_ = std::max(forgotten_through_, call.ended_through);
     answered_at_ = now;
     if (!is_reachable_) {
         is_reachable_ = true;
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -66,6 +66,8 @@
 /// A poll of the worker's lists, which also extends the lease of its runs.
 struct poll_call
 {
+    /// The incarnation that is called; another one gives no answer.
+    worker_incarnation incarnation;
     /// The new end of the lease by the worker's clock; zero to leave it as it
     /// is.
     worker_time deadline{0};
@@ -181,16 +183,19 @@
         worker_id machine, incarnation runner,
         run_tracker_limits const& limits = {});
 
-    /// The worker has announced itself.
+    /// The worker has announced itself. Once a list has confirmed an
+    /// incarnation, another one has to be confirmed by a list as well, of
+    /// next_confirmation().
     /// \return false if the announcement is of an incarnation that has ended.
-    bool on_announcement(
-        worker_facts const& facts, worker_time at, monotonic_time now);
+    bool on_announcement(worker_facts const& facts);
     /// The worker has announced that it leaves.
     /// \return false if that instance is not the current incarnation, or isn't
     /// draining.
     bool on_leave(std::string const& instance);
     /// True once the worker has announced itself.
     bool has_worker() const { return has_worker_; }
+    /// The incarnation as which the worker has listed its runs; none before.
+    std::optional<worker_incarnation> confirmed() const;
     /// The properties that the worker announced last.
     worker_facts const& facts() const { return facts_; }
     /// True if the worker is known and there is a token for calls to it.
@@ -231,6 +236,12 @@
     /// The next poll to send; the caller passes its result to on_listing() or
     /// on_poll_failed().
     poll_call next_poll();
+    /// The poll that shows whether the worker is the incarnation that was
+    /// announced last; none if nothing is to be confirmed, or it was sent. The
+    /// caller passes its result to on_listing() or on_not_confirmed().
+    std::optional<poll_call> next_confirmation();
+    /// The poll of next_confirmation() had no answer.
+    void on_not_confirmed(poll_call const& call, call_outcome result);
     /// A poll had no answer.
     void on_poll_failed(monotonic_time now);
     /// Drops the runs of an unreachable worker once their lease has lapsed.
@@ -279,6 +290,7 @@
     };
 
     void begin_incarnation(worker_facts const& facts);
+    bool confirm(worker_incarnation const& listed);
     bool is_current(std::optional<worker_incarnation> const& called) const;
     void update_clock(worker_time at, monotonic_time now);
     void apply_order(runner_order const& order);
@@ -291,6 +303,11 @@
     run_tracker_limits limits_;
     bool has_worker_ = false;
     worker_facts facts_;
+    /// The worker has listed its runs as this incarnation.
+    bool is_confirmed_ = false;
+    /// What was announced of an incarnation that isn't confirmed.
+    std::optional<worker_facts> announced_;
+    bool is_confirming_ = false;
     scheduler_term term_;
     std::uint64_t token_ = 0;
     bool token_refused_ = false;
--- a/src/libsycamorespar/runner_messages.hpp
+++ b/src/libsycamorespar/runner_messages.hpp
@@ -126,7 +126,8 @@
     incarnation runner;
     /// Rises with each report of this incarnation of the runner.
     std::uint64_t sequence = 0;
-    /// The properties that the worker announced last.
+    /// The properties that the worker announced last; none before it has
+    /// listed its runs to this runner.
     worker_facts facts;
     /// The scheduler's term that the runner follows; zero before the first.
     scheduler_term term;
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -115,14 +115,7 @@
     }
     auto const& announcement = value(read);
     bool const was_draining = tracker_.facts().is_draining;
-    auto const earlier = tracker_.facts().incarnation;
-    tracker_.on_announcement(
-        announcement.facts, announcement.at, event_loop::now());
-    if (!(earlier == tracker_.facts().incarnation))
-        log_event(
-            log_level::info, "worker_announced",
-            {{"instance", instance},
-             {"born_ms", announcement.facts.incarnation.born.count()}});
+    tracker_.on_announcement(announcement.facts);
     if (!was_draining && tracker_.facts().is_draining)
         log_event(log_level::info, "worker_drains", {{"instance", instance}});
     return true;
@@ -133,9 +126,36 @@
     send_starts();
     send_stops();
     list_runs();
+    confirm_worker();
     poll();
 }
 
+void runner_daemon::confirm_worker()
+{
+    auto const call = tracker_.next_confirmation();
+    if (!call)
+        return;
+    worker_.poll(*call, [this, call](platform::poll_answer const& answer) {
+        ++(answer.listing ? counts_.polls : counts_.failed_polls);
+        if (answer.listing) {
+            apply_listing(*answer.listing, *call);
+        } else {
+            tracker_.on_not_confirmed(*call, answer.result);
+            handle_token_result(answer.result, call->token);
+        }
+        bool const is_refuted =
+            (answer.listing || answer.result == call_outcome::not_sent) &&
+            !(tracker_.confirmed() == call->incarnation);
+        if (is_refuted)
+            log_event(
+                log_level::warning, "announcement_not_confirmed",
+                {{"instance", call->incarnation.instance},
+                 {"born_ms", call->incarnation.born.count()},
+                 {"result", to_string(answer.result)}});
+        report_sender_.wake();
+    });
+}
+
 // The poll that is open was sent under the old token, and may wait long for its
 // answer.
 void runner_daemon::list_runs()
@@ -145,16 +165,14 @@
         return;
     auto call = tracker_.next_poll();
     call.may_wait = false;
-    worker_.poll(
-        tracker_.facts().incarnation, call,
-        [this, call](platform::poll_answer const& answer) {
-            ++(answer.listing ? counts_.polls : counts_.failed_polls);
-            if (answer.listing)
-                apply_listing(*answer.listing, call);
-            else
-                handle_token_result(answer.result, call.token);
-            report_sender_.wake();
-        });
+    worker_.poll(call, [this, call](platform::poll_answer const& answer) {
+        ++(answer.listing ? counts_.polls : counts_.failed_polls);
+        if (answer.listing)
+            apply_listing(*answer.listing, call);
+        else
+            handle_token_result(answer.result, call.token);
+        report_sender_.wake();
+    });
 }
 
 void runner_daemon::handle_token_result(
@@ -229,12 +247,10 @@
         return;
     is_polling_ = true;
     auto const call = tracker_.next_poll();
-    worker_.poll(
-        tracker_.facts().incarnation, call,
-        [this, call](platform::poll_answer const& answer) {
-            is_polling_ = false;
-            handle_poll_answer(call, answer);
-        });
+    worker_.poll(call, [this, call](platform::poll_answer const& answer) {
+        is_polling_ = false;
+        handle_poll_answer(call, answer);
+    });
 }
 
 void runner_daemon::handle_poll_answer(
@@ -269,7 +285,13 @@
     worker_listing const& listing, poll_call const& call)
 {
     auto const before = tracker_.missing_runs();
+    auto const earlier = tracker_.confirmed();
     tracker_.on_listing(listing, call, event_loop::now());
+    if (!(tracker_.confirmed() == earlier))
+        log_event(
+            log_level::info, "worker_confirmed",
+            {{"instance", call.incarnation.instance},
+             {"born_ms", listing.born.count()}});
     if (tracker_.missing_runs() == before)
         return;
     log_event(
--- a/src/spar-runner/runner_daemon.hpp
+++ b/src/spar-runner/runner_daemon.hpp
@@ -35,6 +35,7 @@
     void send_starts();
     void send_stops();
     void list_runs();
+    void confirm_worker();
     void poll();
     void poll_again();
     void apply_listing(worker_listing const& listing, poll_call const& call);
--- a/tests/cancelled_runs_test.cpp
+++ b/tests/cancelled_runs_test.cpp
@@ -45,7 +45,7 @@
         facts.incarnation = {"i-a", 1000ms};
         facts.pool = pool_id{"ledger"};
         facts.capacity = {4000, 8000, 0};
-        tracker->on_announcement(facts, clock, now);
+        tracker->on_announcement(facts);
     }
 
     /// A new leader finds the jobs' records; cancellations are recorded.
--- a/tests/graph_scheduler_test.cpp
+++ b/tests/graph_scheduler_test.cpp
@@ -272,6 +272,28 @@
     CHECK(starts[0].run.number == 2);
 }
 
+TEST_CASE("a runner gets a token before its worker's incarnation is known")
+{
+    world w;
+    test_runner a("a");
+    a.join(w.scheduler, w.now);
+    w.add(test_job("j1", "urgent", test_step(1, one_core)));
+    REQUIRE(starts_in(w.step(a)).size() == 1);
+    runner_report first;
+    first.worker = a.report.worker;
+    first.runner = incarnation{2};
+    first.sequence = 1;
+    CHECK(w.scheduler.on_report(first, w.now));
+    auto const reply = w.scheduler.reply_to(first.worker, w.now, true);
+    CHECK(reply.token > a.report.token);
+    w.plan();
+    CHECK(w.scheduler.counts().ended.empty());
+    a.report.runner = incarnation{2};
+    a.report.sequence = 1;
+    CHECK(starts_in(w.step(a)).empty());
+    CHECK(w.scheduler.counts().ended.empty());
+}
+
 TEST_CASE("a report of an earlier incarnation of the worker is ignored")
 {
     world w;
--- a/tests/graph_soak.hpp
+++ b/tests/graph_soak.hpp
@@ -258,14 +258,27 @@
             facts.pool = pool_id{"p"};
             facts.domain = failure_domain_id{"north"};
             facts.capacity = {4000, 8000, 0};
-            runner.tracker->on_announcement(
-                facts, workers_[at].clock(now_), clock_of(at));
+            runner.tracker->on_announcement(facts);
         }
+        announce_oddly(at);
         runner.tracker->drop_lapsed(clock_of(at));
         call_worker(at);
         report(at);
     }
 
+    /// An announcement of another writer, which names no worker.
+    void announce_oddly(std::size_t at)
+    {
+        if (!is_fault_phase() || !chance(0.002))
+            return;
+        worker_facts facts;
+        facts.incarnation = {
+            chance(0.5) ? "i" : "i-odd",
+            workers_[at].born + milliseconds(between(-1, 1) * 500)};
+        facts.pool = pool_id{"no-such-pool"};
+        runners_[at].tracker->on_announcement(facts);
+    }
+
     /// Delivers an answer of the worker to the runner that called it.
     void deliver(
         std::size_t at, std::uint64_t generation,
@@ -284,9 +297,20 @@
     void order(
         std::size_t at, std::function<call_outcome()> carry_out,
         std::function<void(call_outcome, worker_time)> on_answer)
+    {
+        call(
+            at, runners_[at].tracker->facts().incarnation.born,
+            std::move(carry_out), std::move(on_answer));
+    }
+
+    /// As order(), to the incarnation that was born then; later ones don't get
+    /// it.
+    void call(
+        std::size_t at, milliseconds born,
+        std::function<call_outcome()> carry_out,
+        std::function<void(call_outcome, worker_time)> on_answer)
     {
         auto const generation = runners_[at].generation;
-        auto const born = runners_[at].tracker->facts().incarnation.born;
         auto answer = [this, at, generation,
                        on_answer = std::move(on_answer)](call_outcome result) {
             auto const clock = result == call_outcome::unknown
@@ -339,39 +363,57 @@
                     runners_[at].tracker->on_stop_result(
                         run, result, clock, clock_of(at));
                 });
-        if (!runner.is_polling && tracker.may_call())
-            poll_worker(at);
+        if (auto const confirmation = tracker.next_confirmation())
+            send_poll(at, *confirmation);
+        if (!runner.is_polling && tracker.may_call()) {
+            runner.is_polling = true;
+            send_poll(at, tracker.next_poll());
+        }
     }
 
-    void poll_worker(std::size_t at)
+    /// A later life of the worker answers too, unless the poll acknowledges
+    /// ends: it would forget ends of its own that it has not listed, which
+    /// nothing in the protocol tells.
+    void send_poll(std::size_t at, poll_call const& poll)
     {
-        auto& runner = runners_[at];
-        runner.is_polling = true;
-        auto const call = runner.tracker->next_poll();
+        auto const born = poll.ended_through == 0
+                              ? workers_[at].born
+                              : runners_[at].tracker->facts().incarnation.born;
         auto const listing = std::make_shared<std::optional<worker_listing>>();
-        order(
-            at,
-            [this, at, call, listing] {
-                *listing = workers_[at].poll(call, now_);
+        call(
+            at, born,
+            [this, at, poll, listing] {
+                if (poll.incarnation.instance != "i")
+                    return call_outcome::not_sent;
+                *listing = workers_[at].poll(poll, now_);
                 return *listing ? call_outcome::accepted
                                 : call_outcome::outdated_token;
             },
-            [this, at, call, listing](call_outcome result, worker_time) {
-                auto& answered = runners_[at];
-                answered.is_polling = false;
-                if (result == call_outcome::accepted)
-                    answered.tracker->on_listing(**listing, call, clock_of(at));
-                else
-                    answered.tracker->on_poll_failed(clock_of(at));
-                if (result != call_outcome::outdated_token)
-                    return;
-                answered.tracker->on_token_refused(call.token);
-                if (answered.tracker->needs_new_token())
-                    answered.tracker->begin_session(
-                        incarnation{++generations_});
+            [this, at, poll, listing](call_outcome result, worker_time) {
+                apply_poll(at, poll, result, *listing);
             });
     }
 
+    void apply_poll(
+        std::size_t at, poll_call const& poll, call_outcome result,
+        std::optional<worker_listing> const& listing)
+    {
+        auto& answered = runners_[at];
+        if (poll.may_wait)
+            answered.is_polling = false;
+        if (result == call_outcome::accepted)
+            answered.tracker->on_listing(*listing, poll, clock_of(at));
+        else if (poll.may_wait)
+            answered.tracker->on_poll_failed(clock_of(at));
+        else
+            answered.tracker->on_not_confirmed(poll, result);
+        if (result != call_outcome::outdated_token)
+            return;
+        answered.tracker->on_token_refused(poll.token);
+        if (answered.tracker->needs_new_token())
+            answered.tracker->begin_session(incarnation{++generations_});
+    }
+
     void report(std::size_t at)
     {
         auto& runner = runners_[at];
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -67,8 +67,9 @@
     platform::poll_answer poll()
     {
         std::optional<platform::poll_answer> got;
-        client.poll(
-            {"i-1", 1ms}, {}, [&](auto const& answer) { got = answer; });
+        poll_call call;
+        call.incarnation = {"i-1", 1ms};
+        client.poll(call, [&](auto const& answer) { got = answer; });
         REQUIRE(run_until(loop, [&] { return got.has_value(); }));
         return *got;
     }
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -22,7 +22,7 @@
     {
         facts.incarnation = {"i-1", 1000ms};
         facts.pool = pool_id{"ledger"};
-        tracker.on_announcement(facts, 10'000ms, now);
+        tracker.on_announcement(facts);
     }
 
     runner_report report()
@@ -50,7 +50,9 @@
         std::vector<listed_run> running, std::vector<end_report> ended,
         worker_time at = 0ms)
     {
-        auto const clock = at == 0ms ? tracker.clock_at_least(now) + 1ms : at;
+        auto const clock =
+            at == 0ms ? std::max(tracker.clock_at_least(now), 10'000ms) + 1ms
+                      : at;
         tracker.on_listing(
             {facts.incarnation.born, clock, std::move(running),
              std::move(ended)},
@@ -81,11 +83,22 @@
         reply(report().sequence, {stop_order{next_order++, run}});
     }
 
+    /// The worker, another incarnation since, announces itself and lists its
+    /// runs.
+    void replace_worker(std::vector<listed_run> running = {})
+    {
+        tracker.on_announcement(facts);
+        auto const call = tracker.next_confirmation();
+        REQUIRE(call);
+        tracker.on_listing(
+            {facts.incarnation.born, 10ms, std::move(running), {}}, *call, now);
+    }
+
     /// The worker announces that it drains, as it does before it leaves.
     void drain()
     {
         facts.is_draining = true;
-        tracker.on_announcement(facts, tracker.clock_at_least(now), now);
+        tracker.on_announcement(facts);
     }
 
     listed_run listed() const
@@ -172,6 +185,7 @@
 TEST_CASE("the worker's clock is estimated as slow, never as fast")
 {
     fixture f;
+    f.list({}, {}, 10'000ms);
     f.now += 10s;
     CHECK(f.tracker.clock_at_least(f.now) == 19'800ms);
 }
@@ -340,13 +354,13 @@
     f.list(
         {f.listed()}, {{1, {{job_id{"j2"}, 0, 0, 0}, 1}, run_end::failed, ""}});
     f.facts.incarnation.born = 9000ms;
-    f.tracker.on_announcement(f.facts, 5ms, f.now);
+    f.replace_worker();
     auto const reported = f.report();
     CHECK(reported.runs.empty());
     CHECK(reported.ends.empty());
-    CHECK_FALSE(reported.is_listed);
+    CHECK(reported.facts.incarnation == f.facts.incarnation);
     f.facts.incarnation.born = 1000ms;
-    CHECK_FALSE(f.tracker.on_announcement(f.facts, 20'000ms, f.now));
+    CHECK_FALSE(f.tracker.on_announcement(f.facts));
 }
 
 TEST_CASE("a list of a new incarnation is recognised before its announcement")
@@ -354,11 +368,31 @@
     fixture f;
     f.join();
     f.list({f.listed()}, {});
-    f.tracker.on_listing({7000ms, 3ms, {}, {}}, {0ms, 0, 70}, f.now);
+    f.tracker.on_listing({7000ms, 3ms, {}, {}}, f.tracker.next_poll(), f.now);
     CHECK(f.report().runs.empty());
     CHECK(f.tracker.facts().incarnation.born == 7000ms);
 }
 
+// The ends of a worker were never acknowledged any more, and kept its room.
+TEST_CASE("the next life answering a poll has confirmed no acknowledgement")
+{
+    fixture f;
+    f.join();
+    f.list({}, {{1, run, run_end::failed, ""}});
+    f.tracker.on_reply(
+        f.report().sequence,
+        {scheduler_term{7}, 70, true, f.facts.incarnation, 1, {}});
+    auto const call = f.tracker.next_poll();
+    REQUIRE(call.ended_through == 1);
+    f.facts.incarnation.born = 7000ms;
+    f.tracker.on_listing(
+        {7000ms, 3ms, {}, {{1, run, run_end::failed, ""}}}, call, f.now);
+    f.tracker.on_reply(
+        f.report().sequence,
+        {scheduler_term{7}, 70, true, f.facts.incarnation, 1, {}});
+    CHECK(f.tracker.next_poll().ended_through == 1);
+}
+
 TEST_CASE("an unreachable worker's runs are dropped once their lease is over")
 {
     fixture f;
@@ -478,10 +512,12 @@
     CHECK(f.tracker.take_starts(f.now).empty());
     f.list({f.listed()}, {});
     CHECK(f.report().runs.empty());
-    CHECK_FALSE(f.tracker.on_announcement(f.facts, 20'000ms, f.now));
+    CHECK_FALSE(f.tracker.on_announcement(f.facts));
     CHECK(f.report().facts.has_left);
     f.facts.incarnation = {"i-2", 5000ms};
-    CHECK(f.tracker.on_announcement(f.facts, 10ms, f.now));
+    CHECK(f.tracker.on_announcement(f.facts));
+    CHECK(f.report().facts.has_left);
+    f.replace_worker();
     CHECK_FALSE(f.report().facts.has_left);
 }
 
@@ -493,8 +529,7 @@
     f.drain();
     f.facts.incarnation.born = 5000ms;
     f.facts.is_draining = false;
-    f.tracker.on_announcement(f.facts, 10ms, f.now);
-    f.list({f.listed()}, {});
+    f.replace_worker({f.listed()});
     REQUIRE(f.has_run());
     CHECK_FALSE(f.tracker.on_leave("i-1"));
     CHECK(f.has_run());
@@ -530,7 +565,7 @@
     REQUIRE(f.tracker.take_starts(f.now).size() == 1);
     auto const earlier = f.facts.incarnation;
     f.facts.incarnation.born = 5000ms;
-    f.tracker.on_announcement(f.facts, 10ms, f.now);
+    f.replace_worker();
     f.tracker.on_start_result(
         run, call_outcome::accepted, 90'000ms, f.now, earlier);
     CHECK(f.tracker.clock_at_least(f.now) == 10ms);
@@ -538,3 +573,84 @@
         run, call_outcome::accepted, 90'000ms, f.now, earlier);
     CHECK(f.tracker.clock_at_least(f.now) == 10ms);
 }
+
+// TWICE: a runner believed an announcement of another writer, whose service no
+// configuration names. The runs of its worker were lost, and started elsewhere.
+TEST_CASE("an announcement that the worker doesn't confirm ends no run")
+{
+    fixture f;
+    f.join();
+    f.list({f.listed()}, {});
+    worker_facts odd;
+    for (worker_incarnation const& announced :
+         {worker_incarnation{"i-odd", 1000ms},
+          worker_incarnation{"i-odd", 9000ms}}) {
+        odd.incarnation = announced;
+        f.tracker.on_announcement(odd);
+        auto const call = f.tracker.next_confirmation();
+        REQUIRE(call);
+        CHECK(call->incarnation == announced);
+        f.tracker.on_not_confirmed(*call, call_outcome::not_sent);
+        CHECK(f.has_run());
+        CHECK(f.report().facts == f.facts);
+    }
+    // The worker answers to its own name, and says when it was born.
+    odd.incarnation = {"i-1", 9000ms};
+    f.tracker.on_announcement(odd);
+    auto const call = f.tracker.next_confirmation();
+    REQUIRE(call);
+    f.tracker.on_listing({1000ms, 10'200ms, {f.listed()}, {}}, *call, f.now);
+    CHECK(f.has_run());
+    CHECK(f.report().facts == f.facts);
+    CHECK_FALSE(f.tracker.next_confirmation());
+}
+
+TEST_CASE("an announcement is confirmed once, and again after no answer")
+{
+    fixture f;
+    CHECK_FALSE(f.tracker.next_confirmation());
+    f.join();
+    f.facts.incarnation = {"i-2", 5000ms};
+    f.tracker.on_announcement(f.facts);
+    auto const call = f.tracker.next_confirmation();
+    REQUIRE(call);
+    CHECK_FALSE(f.tracker.next_confirmation());
+    f.tracker.on_not_confirmed(*call, call_outcome::unknown);
+    CHECK(f.tracker.next_confirmation());
+    f.tracker.on_not_confirmed(*call, call_outcome::not_sent);
+    CHECK_FALSE(f.tracker.next_confirmation());
+}
+
+// TWICE: a runner that had just started reported what another writer had
+// announced, so that the runs of its worker were lost.
+TEST_CASE("a runner reports no incarnation before its worker has listed it")
+{
+    fixture f;
+    CHECK(f.report().facts == worker_facts{});
+    auto odd = f.facts;
+    odd.incarnation = {"i-odd", 9000ms};
+    f.tracker.on_announcement(odd);
+    f.reply(f.report().sequence);
+    CHECK(f.tracker.next_poll().incarnation == odd.incarnation);
+    CHECK(f.report().facts == worker_facts{});
+    f.tracker.on_announcement(f.facts);
+    CHECK(f.report().facts == worker_facts{});
+    f.list({f.listed()}, {});
+    auto const reported = f.report();
+    CHECK(reported.is_listed);
+    CHECK(reported.facts == f.facts);
+    CHECK(reported.runs.size() == 1);
+}
+
+// TWICE: the same, under the name of the worker.
+TEST_CASE("a runner's first list tells when its worker was born")
+{
+    fixture f;
+    auto odd = f.facts;
+    odd.incarnation.born = 9000ms;
+    f.tracker.on_announcement(odd);
+    f.reply(f.report().sequence);
+    f.list({f.listed()}, {});
+    CHECK(f.report().facts.incarnation == f.facts.incarnation);
+    CHECK(f.has_run());
+}
