--- a/tests/process_soak.hpp
+++ b/tests/process_soak.hpp
@@ -132,6 +132,7 @@
             {"store", 3, &process_soak::lose_store},
             {"part", 6, &process_soak::part_machines},
             {"freeze-runner", 5, &process_soak::freeze_runners},
+            {"freeze-and-part", 3, &process_soak::freeze_and_part},
             {"freeze-scheduler", 3, &process_soak::freeze_scheduler},
             {"kill", 3, &process_soak::kill_machine},
             {"stop", 2, &process_soak::stop_machine},
@@ -240,7 +241,8 @@
         drawn.is_lasting = chance(0.05);
         auto const failures = !drawn.is_lasting && chance(0.1) ? 1 : 0;
         auto const millicores = between(200, 1500);
-        auto const time_ms = drawn.is_lasting ? 0 : between(100, 2500);
+        auto const longest_ms = chance(0.3) ? 12'000 : 2500;
+        auto const time_ms = drawn.is_lasting ? 0 : between(100, longest_ms);
         nlohmann::json steps = nlohmann::json::array();
         auto const count = drawn.is_lasting ? 1 : between(1, 3);
         for (std::int64_t at = 0; at < count; ++at) {
@@ -399,6 +401,14 @@
             freeze(deployed_.runners()[any_of(deployed_.runners())]);
     }
 
+    /// Runners stand still, and then the leader is parted from the store with
+    /// others: when they wake up, they follow another leader.
+    void freeze_and_part()
+    {
+        freeze_runners();
+        after(between_ms(500, 2500), [this] { part_machines(); });
+    }
+
     void freeze_scheduler() { freeze(deployed_.schedulers()[leader_or_any()]); }
 
     void freeze(standins::deployed_machine& machine)
