--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -25,6 +25,12 @@
 /// a single job may fail on every worker.
 constexpr std::size_t min_failing_jobs = 2;
 
+/// False for a runner to which its worker has not listed its runs yet.
+bool is_confirmed(runner_report const& report)
+{
+    return !(report.facts.incarnation == worker_incarnation{});
+}
+
 duration stretched(std::chrono::milliseconds span, double by)
 {
     auto const stretch = static_cast<double>(span.count()) * (1.0 + by);
@@ -216,6 +222,7 @@
 {
     auto& worker = workers_.at(report.worker);
     bool const is_older_incarnation =
+        is_confirmed(report) &&
         report.facts.incarnation.born < worker.facts.incarnation.born;
     bool const is_older_report = worker.runner == report.runner &&
                                  report.sequence <= worker.last_sequence;
@@ -241,12 +248,14 @@
         worker.begin_session(
             report.runner, term_.value * sessions_per_term + ++session_count_);
     }
-    if (!(worker.facts.incarnation == report.facts.incarnation))
-        begin_incarnation(worker, report, now);
-    worker.facts = report.facts;
     worker.last_sequence = report.sequence;
     worker.last_report_at = now;
     worker.is_reachable = report.is_reachable;
+    if (is_confirmed(report)) {
+        if (!(worker.facts.incarnation == report.facts.incarnation))
+            begin_incarnation(worker, report, now);
+        worker.facts = report.facts;
+    }
     if (report.facts.has_left) {
         process_leave(worker, report, now);
         return;
@@ -279,6 +288,7 @@
     worker.has_new_token = false;
     worker.confirm_orders(report.last_order);
     process_ends(worker, report, now);
+    emit_loss(scheduling_event::kind::worker_gone, worker, now);
     end_all_runs(worker, now);
     worker.orders.clear();
     worker.is_listed = false;
@@ -290,6 +300,7 @@
 void graph_scheduler::begin_incarnation(
     registered_worker& worker, runner_report const& report, monotonic_time now)
 {
+    emit_loss(scheduling_event::kind::worker_gone, worker, now);
     end_all_runs(worker, now);
     worker.ends.clear();
     worker.last_end = 0;
@@ -648,7 +659,7 @@
     for (auto& [id, worker] : workers_.all()) {
         if (!has_lapsed(worker, confirmed_at) || worker.runs.empty())
             continue;
-        emit_lapse(worker, now);
+        emit_loss(scheduling_event::kind::lease_lapsed, worker, now);
         end_all_runs(worker, now);
         worker.orders.clear();
         worker.is_listed = false;
@@ -1001,11 +1012,16 @@
         {scheduling_event::kind::job_ended, run, {}, {}, phase, 0});
 }
 
-void graph_scheduler::emit_lapse(
-    registered_worker const& worker, monotonic_time now)
+// Each way of losing runs without their ends has an event of its own: what a
+// run's end alone shows is the same for all.
+void graph_scheduler::emit_loss(
+    scheduling_event::kind type, registered_worker const& worker,
+    monotonic_time now)
 {
+    if (worker.runs.empty())
+        return;
     scheduling_event event;
-    event.type = scheduling_event::kind::lease_lapsed;
+    event.type = type;
     event.worker = worker.id;
     event.lost_runs = worker.runs.size();
     event.silence = std::chrono::duration_cast<std::chrono::milliseconds>(
