Take no properties of one life of a worker for the next

A list that showed a life which had not announced itself gave it the properties that were announced for another one: its service, its room, its state.

Cause: run_tracker::confirm() kept the facts under the same name and replaced the birth only. PROTOCOL.md: "A new incarnation may be of a different kind, even at the same address". So starts could go by the room and the service of the life before (LIMIT, ROUTE). A life after one that drained counted as draining; a late leave of the one before then ended it, and its own announcements were refused for good (LOST).

Ruled out: the case in which the announcement comes first, which "a late leave of an earlier life under the same name is ignored" covers; it passed before.

Change: such a life has no properties before it announces them. The price: it gets no tasks until then, one interval of announcements at most.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -345,7 +345,8 @@
 }
 
 // An answer of an earlier incarnation may be delayed, so a confirmed one is
-// only followed by one that was born later.
+// only followed by one that was born later. That may be of another kind, and
+// doesn't drain: it has no properties before it announces them.
 bool run_tracker::confirm(worker_incarnation const& listed)
 {
     bool const is_announced =
@@ -356,11 +357,10 @@
     if (is_confirmed_ && listed.born < facts_.incarnation.born)
         return false;
     if (!(listed == facts_.incarnation)) {
-        auto facts = is_known ? facts_ : *announced_;
+        worker_facts facts;
         if (is_announced && announced_->incarnation == listed)
             facts = *announced_;
         facts.incarnation = listed;
-        facts.has_left = false;
         begin_incarnation(facts);
     }
     if (is_announced)
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -654,3 +654,53 @@
     CHECK(f.report().facts.incarnation == f.facts.incarnation);
     CHECK(f.has_run());
 }
+
+// LIMIT, ROUTE: a list that showed a new life of the worker gave it the service
+// and the room of the life before, which may have been of another kind.
+TEST_CASE("a life that only a list has shown has no properties yet")
+{
+    fixture f;
+    f.facts.capacity.millicores = 16'000;
+    f.tracker.on_announcement(f.facts);
+    f.join();
+    f.tracker.on_listing({7000ms, 3ms, {}, {}}, f.tracker.next_poll(), f.now);
+    worker_facts unknown;
+    unknown.incarnation = {"i-1", 7000ms};
+    CHECK(f.report().facts == unknown);
+    f.facts.incarnation.born = 7000ms;
+    f.facts.capacity.millicores = 4'000;
+    f.tracker.on_announcement(f.facts);
+    CHECK(f.report().facts == f.facts);
+}
+
+// LIMIT, ROUTE: the same for a runner that has just started, after a late
+// announcement of an earlier life.
+TEST_CASE("a late announcement tells nothing of the life that lists its runs")
+{
+    fixture f;
+    auto late = f.facts;
+    late.incarnation.born = 500ms;
+    late.capacity.millicores = 16'000;
+    f.tracker.on_announcement(late);
+    f.reply(f.report().sequence);
+    f.list({f.listed()}, {});
+    CHECK(f.report().facts.incarnation == f.facts.incarnation);
+    CHECK(f.report().facts.capacity.millicores == 0);
+    CHECK(f.report().facts.pool == pool_id{});
+    CHECK(f.has_run());
+}
+
+// LOST: a new life was taken as draining, like the one before, and then as
+// left, for good.
+TEST_CASE("a late leave ends no life that a list has shown before it announced")
+{
+    fixture f;
+    f.join();
+    f.drain();
+    f.tracker.on_listing({7000ms, 3ms, {}, {}}, f.tracker.next_poll(), f.now);
+    CHECK_FALSE(f.tracker.on_leave("i-1"));
+    f.facts.incarnation.born = 7000ms;
+    f.facts.is_draining = false;
+    CHECK(f.tracker.on_announcement(f.facts));
+    CHECK(f.report().facts == f.facts);
+}
