Hold starts back while another life of a worker may have begun

Since a runner keeps a worker's earlier life until a list confirms the next one. Until then it sent the starts that were still to be sent, at once after the announcement and before the list that confirms.

Cause: X-Expected-Instance names the instance only, so the next life under the same name begins such a start, by a deadline of the clock before, and possibly after the list that confirmed it. The leader then has the run as lost and starts it elsewhere (TWICE). Before the announcement itself dropped the order.

Ruled out: another name, which the worker refuses with 421. The simulated soaks can't show it, as their starts reach no life but the one that they are meant for.

Change: no start while another life is announced under the worker's name; the runner sends what it held as soon as the worker has answered.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -272,6 +272,11 @@
     std::vector<start_call> calls;
     if (!may_call() || !clock_ || !is_reachable_ || facts_.has_left)
         return calls;
+    // Another life under the same name would begin it, by a deadline that is
+    // not of its clock, and perhaps after the list that confirms that life.
+    if (announced_ &&
+        announced_->incarnation.instance == facts_.incarnation.instance)
+        return calls;
     auto const clock = clock_at_least(now);
     for (auto& [run, tracked] : runs_) {
         if (tracked.start_stage != tracked_run::stage::ordered)
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -153,6 +153,7 @@
                  {"born_ms", call->incarnation.born.count()},
                  {"result", to_string(answer.result)}});
         report_sender_.wake();
+        send_starts();
     });
 }
 
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -704,3 +704,36 @@
     CHECK(f.tracker.on_announcement(f.facts));
     CHECK(f.report().facts == f.facts);
 }
+
+// TWICE: a start was sent to a life that had only been announced, which began
+// it after its list; the leader had then taken the run as lost.
+TEST_CASE("no start is sent while another life under the name may have begun")
+{
+    fixture f;
+    f.join();
+    f.order_start();
+    auto later = f.facts;
+    later.incarnation.born = 9000ms;
+    f.tracker.on_announcement(later);
+    CHECK(f.tracker.take_starts(f.now).empty());
+    SECTION("the worker is still the one before")
+    {
+        auto const call = f.tracker.next_confirmation();
+        REQUIRE(call);
+        f.tracker.on_listing({1000ms, 10'200ms, {}, {}}, *call, f.now);
+        CHECK(f.tracker.take_starts(f.now).size() == 1);
+    }
+    SECTION("the worker is the other one")
+    {
+        f.facts = later;
+        f.replace_worker();
+        CHECK(f.tracker.take_starts(f.now).empty());
+    }
+    SECTION("another name, to which a start would not be addressed")
+    {
+        f.list({}, {});
+        later.incarnation.instance = "i-odd";
+        f.tracker.on_announcement(later);
+        CHECK(f.tracker.take_starts(f.now).size() == 1);
+    }
+}
