Count a runner's first list whatever was announced meanwhile

A runner that knows no worker yet follows each announcement. If one of another writer came while its first poll was open (up to 400 ms, as that poll waits for ends), the worker's own list was ignored, and the runner went on polling under the other name until the worker announced itself again. It tracked no runs and extended no lease meanwhile; announcements that go on could repeat that (LOST).

Cause: the list was compared with what was announced last, not with the name under which it was asked for. Only the worker answers under its name.

Ruled out: a runner that has a confirmed worker, which keeps it; and a late list of an earlier life, which counts for such a runner as it did before, until the next life is announced and confirmed.

Change: while no life is confirmed, a list confirms the one that was called. Its properties follow with its next announcement.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -357,7 +357,9 @@
     bool const is_announced =
         announced_ && announced_->incarnation.instance == listed.instance;
     bool const is_known = facts_.incarnation.instance == listed.instance;
-    if (!is_known && !is_announced)
+    // Whoever answers a runner that knows no worker is the worker, whatever has
+    // been announced since.
+    if (is_confirmed_ && !is_known && !is_announced)
         return false;
     if (is_confirmed_ && listed.born < facts_.incarnation.born)
         return false;
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -737,3 +737,22 @@
         CHECK(f.tracker.take_starts(f.now).size() == 1);
     }
 }
+
+// LOST: a runner that had just started ignored the list for which it had asked
+// if another announcement came meanwhile, and extended no lease until the next.
+TEST_CASE("the first list counts whatever was announced since it was asked for")
+{
+    fixture f;
+    f.reply(f.report().sequence);
+    auto const call = f.tracker.next_poll();
+    worker_facts odd;
+    odd.incarnation = {"i-odd", 9000ms};
+    f.tracker.on_announcement(odd);
+    f.tracker.on_listing({1000ms, 10'000ms, {f.listed()}, {}}, call, f.now);
+    CHECK(f.report().facts.incarnation == f.facts.incarnation);
+    CHECK(f.report().is_listed);
+    CHECK(f.has_run());
+    CHECK(f.tracker.next_poll().incarnation == f.facts.incarnation);
+    f.tracker.on_announcement(f.facts);
+    CHECK(f.report().facts == f.facts);
+}
