--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -272,6 +272,11 @@
     std::vector<start_call> calls;
     if (!may_call() || !clock_ || !is_reachable_ || facts_.has_left)
         return calls;
+    // Another life under the same name would begin it, by a deadline that is
+    // not of its clock, and perhaps after the list that confirms that life.
+    if (announced_ &&
+        announced_->incarnation.instance == facts_.incarnation.instance)
+        return calls;
     auto const clock = clock_at_least(now);
     for (auto& [run, tracked] : runs_) {
         if (tracked.start_stage != tracked_run::stage::ordered)
@@ -345,22 +350,24 @@
 }
 
 // An answer of an earlier incarnation may be delayed, so a confirmed one is
-// only followed by one that was born later.
+// only followed by one that was born later. That may be of another kind, and
+// doesn't drain: it has no properties before it announces them.
 bool run_tracker::confirm(worker_incarnation const& listed)
 {
     bool const is_announced =
         announced_ && announced_->incarnation.instance == listed.instance;
     bool const is_known = facts_.incarnation.instance == listed.instance;
-    if (!is_known && !is_announced)
+    // Whoever answers a runner that knows no worker is the worker, whatever has
+    // been announced since.
+    if (is_confirmed_ && !is_known && !is_announced)
         return false;
     if (is_confirmed_ && listed.born < facts_.incarnation.born)
         return false;
     if (!(listed == facts_.incarnation)) {
-        auto facts = is_known ? facts_ : *announced_;
+        worker_facts facts;
         if (is_announced && announced_->incarnation == listed)
             facts = *announced_;
         facts.incarnation = listed;
-        facts.has_left = false;
         begin_incarnation(facts);
     }
     if (is_announced)
