--- a/tests/standins/platform_worker/platform_worker.hpp
+++ b/tests/standins/platform_worker/platform_worker.hpp
@@ -83,6 +83,10 @@
     std::string const& id() const { return settings_.id; }
     /// The live runs.
     std::size_t running() const { return runs_.size(); }
+    /// Its processors in thousandths of a core.
+    std::int64_t millicores() const { return settings_.millicores; }
+    /// What the live runs use of them.
+    std::int64_t used_millicores() const;
 
 private:
     struct live_run
--- a/tests/standins/platform_worker/run_history.cpp
+++ b/tests/standins/platform_worker/run_history.cpp
@@ -77,4 +77,13 @@
                [](run_record const& run) { return run.how == done_end; });
 }
 
+bool run_history::is_running(std::string const& task) const
+{
+    auto const found = tasks_.find(task);
+    return found != tasks_.end() &&
+           std::any_of(
+               found->second.begin(), found->second.end(),
+               [](run_record const& run) { return !run.ended; });
+}
+
 } // namespace sycamorespar::standins
--- a/tests/standins/platform_worker/run_history.hpp
+++ b/tests/standins/platform_worker/run_history.hpp
@@ -67,6 +67,8 @@
     std::vector<std::string> find_duplicates() const;
     /// True if a run of the task has ended done.
     bool is_done(std::string const& task) const;
+    /// True if a run of the task is live.
+    bool is_running(std::string const& task) const;
 
 private:
     std::map<std::string, std::vector<run_record>> tasks_;
