Merge the check of UNASKED in the soak of real processes

Resolved: the soak ends once cancelled work is gone and the jobs are done, or the time of LOST is over, whichever leaves both checks whole.

--- a/tests/process_soak.hpp
+++ b/tests/process_soak.hpp
@@ -42,6 +42,13 @@
     /// From then on no accepted job may have nothing running for so long while
     /// there is room (LOST).
     milliseconds longest_idle{3000};
+    /// Nothing of a job may begin this long after its cancellation was
+    /// acknowledged and the last faults were over.
+    milliseconds cancel{3000};
+    /// Nothing of it may run on this much later.
+    milliseconds stop{900};
+    /// The share of jobs whose tasks run until they are cancelled.
+    double lasting = 0.05;
     /// Names of the kinds of faults to draw from; empty for all.
     std::set<std::string> kinds;
 };
@@ -114,6 +121,8 @@
         /// An attempt was answered otherwise than by a refusal.
         bool may_run = false;
         bool is_cancel_sent = false;
+        /// When its cancellation was acknowledged.
+        std::optional<monotonic_time> cancelled;
         std::size_t attempts = 0;
         std::size_t refusals = 0;
     };
@@ -251,7 +260,7 @@
     submitted_job draw_job()
     {
         submitted_job drawn;
-        drawn.is_lasting = chance(0.05);
+        drawn.is_lasting = chance(limits_.lasting);
         auto const failures = !drawn.is_lasting && chance(0.1) ? 1 : 0;
         auto const millicores = between(200, 1500);
         auto const longest_ms = chance(0.3) ? 12'000 : 2500;
@@ -324,7 +333,9 @@
         constexpr int accepted = 200;
         jobs_.at(id).is_cancel_sent = true;
         call(any_of(callers_), "DELETE", id, {}, [this, id](int status) {
-            if (status != accepted)
+            if (status == accepted)
+                jobs_.at(id).cancelled = event_loop::now();
+            else
                 after(milliseconds(500), [this, id] { cancel(id); });
         });
     }
@@ -606,17 +617,21 @@
             return;
         if (!std::exchange(is_settling_, true))
             end_faults();
-        if (now < faults_end_ + limits_.quiet)
+        if (now < quiet_end())
             return;
         if (!settle_end_) {
-            settle_end_ = now + longest_settling();
+            settle_end_ =
+                now +
+                std::max(longest_settling(), limits_.cancel + limits_.stop);
             note(fmt::format(
                 "settling for {} ms at most",
                 std::chrono::duration_cast<milliseconds>(*settle_end_ - now)
                     .count()));
         }
         check_idle_jobs();
-        if (now >= *settle_end_ || unfinished().empty())
+        bool const is_cancelled_gone =
+            now > quiet_end() + limits_.cancel + limits_.stop;
+        if (now >= *settle_end_ || (is_cancelled_gone && unfinished().empty()))
             loop_.stop();
     }
 
@@ -739,6 +754,9 @@
             });
     }
 
+    /// The last faults act no longer.
+    monotonic_time quiet_end() const { return faults_end_ + limits_.quiet; }
+
     std::vector<std::string> unfinished()
     {
         std::vector<std::string> found;
@@ -754,8 +772,10 @@
     void check()
     {
         violations_ = deployed_.history().find_duplicates();
-        for (auto const& [task, runs] : deployed_.history().tasks())
+        for (auto const& [task, runs] : deployed_.history().tasks()) {
             check_job_of(task);
+            check_cancelled(task, runs);
+        }
         violations_.insert(violations_.end(), lost_.begin(), lost_.end());
         for (auto const& task : unfinished())
             violations_.push_back(task + ": accepted and not done");
@@ -778,6 +798,28 @@
                 task + ": started, and all attempts were refused");
     }
 
+    void check_cancelled(
+        std::string const& task, std::vector<standins::run_record> const& runs)
+    {
+        auto const found = jobs_.find(task.substr(0, task.find('.')));
+        if (found == jobs_.end() || !found->second.cancelled)
+            return;
+        auto const last_start =
+            std::max(*found->second.cancelled, quiet_end()) + limits_.cancel;
+        auto const last_end = last_start + limits_.stop;
+        for (auto const& run : runs) {
+            auto const where = fmt::format(
+                "run {} on {} life {}, token {}", run.number, run.worker,
+                run.life, run.token);
+            if (run.began > last_start)
+                violations_.push_back(
+                    task + ": begun, and its job was cancelled: " + where);
+            else if (run.ended.value_or(event_loop::now()) > last_end)
+                violations_.push_back(
+                    task + ": runs on, and its job was cancelled: " + where);
+        }
+    }
+
     void check_process(standins::managed_process& process)
     {
         process.is_running();
