Acknowledge no ends while another life of a worker may have begun

Between the announcement of a later life under the same name and the list that confirms it, polls still acknowledged the ends of the life before. The numbers mean others in the next life, which would forget ends that it has not listed; their runs would start again (TWICE).

Cause: as for starts, X-Expected-Instance names the instance only. Before the announcement itself dropped the acknowledgement.

Ruled out: an acknowledgement sent before the announcement.

Change: the condition that holds starts back holds acknowledgements too.

--- a/src/libsycamorespar/run_tracker.cpp
+++ b/src/libsycamorespar/run_tracker.cpp
@@ -128,6 +128,13 @@
     return !called || *called == facts_.incarnation;
 }
 
+// A call under a name reaches whichever life has it.
+bool run_tracker::may_be_another_life() const
+{
+    return announced_ &&
+           announced_->incarnation.instance == facts_.incarnation.instance;
+}
+
 void run_tracker::update_clock(worker_time at, monotonic_time now)
 {
     if (clock_ && clock_at_least(now) >= at)
@@ -274,8 +281,7 @@
         return calls;
     // Another life under the same name would begin it, by a deadline that is
     // not of its clock, and perhaps after the list that confirms that life.
-    if (announced_ &&
-        announced_->incarnation.instance == facts_.incarnation.instance)
+    if (may_be_another_life())
         return calls;
     auto const clock = clock_at_least(now);
     for (auto& [run, tracked] : runs_) {
@@ -317,8 +323,9 @@
     // An acknowledgement is not sent again after the worker has confirmed it: a
     // delayed poll may reach a later incarnation of the worker, which uses the
     // same numbers for its ends.
-    auto const to_forget =
-        ended_through_ > forgotten_through_ ? ended_through_ : 0;
+    bool const is_due =
+        ended_through_ > forgotten_through_ && !may_be_another_life();
+    auto const to_forget = is_due ? ended_through_ : 0;
     if (!is_reachable_)
         return {facts_.incarnation, worker_time::zero(), to_forget, token_};
     sent_until_ = std::max(sent_until_, granted_until_);
--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -292,6 +292,7 @@
     void begin_incarnation(worker_facts const& facts);
     bool confirm(worker_incarnation const& listed);
     bool is_current(std::optional<worker_incarnation> const& called) const;
+    bool may_be_another_life() const;
     void update_clock(worker_time at, monotonic_time now);
     void apply_order(runner_order const& order);
     void record_refusal(run_id const& run, refusal_reason why);
--- a/tests/run_tracker_test.cpp
+++ b/tests/run_tracker_test.cpp
@@ -756,3 +756,24 @@
     f.tracker.on_announcement(f.facts);
     CHECK(f.report().facts == f.facts);
 }
+
+// TWICE: a life that had only been announced forgot ends that it had not listed
+// yet, as they have the numbers of ends of the life before.
+TEST_CASE("no end is acknowledged while another life may have begun")
+{
+    fixture f;
+    f.join();
+    f.list({}, {{1, run, run_end::failed, ""}});
+    f.tracker.on_reply(
+        f.report().sequence,
+        {scheduler_term{7}, 70, true, f.facts.incarnation, 1, {}});
+    auto later = f.facts;
+    later.incarnation.born = 7000ms;
+    f.tracker.on_announcement(later);
+    CHECK(f.tracker.next_poll().ended_through == 0);
+    auto const call = f.tracker.next_confirmation();
+    REQUIRE(call);
+    f.tracker.on_listing(
+        {1000ms, 10'200ms, {}, {{1, run, run_end::failed, ""}}}, *call, f.now);
+    CHECK(f.tracker.next_poll().ended_through == 1);
+}
