--- a/src/libsycamorespar/run_tracker.hpp
+++ b/src/libsycamorespar/run_tracker.hpp
@@ -308,6 +308,7 @@
     bool is_confirmed_ = false;
     /// What was announced of an incarnation that isn't confirmed.
     std::optional<worker_facts> announced_;
+    /// The poll that is to confirm it was sent.
     bool is_confirming_ = false;
     scheduler_term term_;
     std::uint64_t token_ = 0;
