--- a/tests/process_soak.hpp
+++ b/tests/process_soak.hpp
@@ -812,11 +812,11 @@
                 "run {} on {} life {}, token {}", run.number, run.worker,
                 run.life, run.token);
             if (run.began > last_start)
-                violations_.push_back(
-                    task + ": begun, and its job was cancelled: " + where);
+                violations_.push_back(fmt::format(
+                    "{}: begun, and its job was cancelled: {}", task, where));
             else if (run.ended.value_or(event_loop::now()) > last_end)
-                violations_.push_back(
-                    task + ": runs on, and its job was cancelled: " + where);
+                violations_.push_back(fmt::format(
+                    "{}: runs on, and its job was cancelled: {}", task, where));
         }
     }
 
