Leave a leadership that is handed over to who claimed it

Cause: the store had turned away the three large schedulers, so that a small one led. When they were back they claimed the leadership; the small one removed its key, and the next small process took it, as fast as the ones that had claimed. It was claimed from in turn: from 26 s on each term lasted some 0.7 s, for 23 s. A new leader knew of the cancellation, but no term was long enough for the runners' sessions to carry out the stops. Only the leader read a claim; to the others the key's last holder was small, so that none waited its 0.3 s.

Ruled out: announcements (worker_gone doesn't show), lost stops (none was ordered in a term that lasted).

Change: a process that sees a claim on the known term leaves the free key to processes as large as the one that claimed. That holds until the next term.

--- a/src/store/leader_election.cpp
+++ b/src/store/leader_election.cpp
@@ -169,6 +169,9 @@
 
 void leader_election::set_leader(std::optional<leader_info> leader)
 {
+    bool const is_next = leader && (!leader_ || leader_->term != leader->term);
+    if (is_next)
+        expected_capacity_ = leader->capacity;
     leader_ = std::move(leader);
     bool const is_self = leader_ && leader_->process == self_.process;
     if (is_leader_ && !is_self)
@@ -179,7 +182,6 @@
         acquire_by_precedence();
         return;
     }
-    expected_capacity_ = leader_->capacity;
     if (is_earlier_incarnation(*leader_))
         try_to_acquire();
     else
@@ -249,16 +251,19 @@
     });
 }
 
+// Others than the leader leave the key to who has claimed it: they would
+// otherwise be as fast, and would be claimed from in turn.
 void leader_election::process_claim(kv_item const& item)
 {
-    if (item.key != leader_claim_key || !is_leader_)
+    if (item.key != leader_claim_key || !leader_)
         return;
     auto const claim = read_claim(item);
     if (!claim || claim->from != leader_->term ||
-        !is_larger(claim->capacity, self_.capacity))
+        !is_larger(claim->capacity, leader_->capacity))
         return;
-    expected_capacity_ = claim->capacity;
-    hand_over();
+    expected_capacity_ = std::max(expected_capacity_, claim->capacity);
+    if (is_leader_)
+        hand_over();
 }
 
 void leader_election::hand_over()
--- a/tests/store_parts_test.cpp
+++ b/tests/store_parts_test.cpp
@@ -358,6 +358,25 @@
     CHECK_FALSE(is_failing);
 }
 
+// UNASKED: a small leader handed over, and the next small process was faster
+// than the one that had claimed, for 23 s on end. No term lasted long enough to
+// stop the tasks of cancelled jobs.
+TEST_CASE("a leadership that is handed over waits for who claimed it")
+{
+    store_fixture fixture;
+    candidate small(fixture, 1, 100);
+    REQUIRE(fixture.run_until([&] { return small.election.is_leader(); }));
+    candidate other(fixture, 2, 100);
+    REQUIRE(
+        fixture.run_until([&] { return other.election.leader().has_value(); }));
+    candidate large(fixture, 3, 500);
+    auto const is_handed_over = [&] {
+        return other.election.is_leader() || large.election.is_leader();
+    };
+    REQUIRE(fixture.run_until(is_handed_over));
+    CHECK(large.election.is_leader());
+}
+
 TEST_CASE("a process slightly larger than the leader doesn't replace it")
 {
     store_fixture fixture;
