Tell why a backfill task waits, what it harms and at which pace it runs

New events: `backfill_waits` (reason, image that minds, headroom), `contention_accepted`, `contention_estimated` of spar-scheduler and `pace_changed` of spar-runner, which names the serving image, its tail and its target. New metrics: `spar_backfill_waiting`, `spar_contention_accepted`, `spar_contention_pairs`, `spar_backfill_runs`, `spar_serving_runs`, `spar_serving_over_target`, `spar_serving_over_target_seconds`, `spar_serving_worst_tail_ratio`.

A waiting step tells its reason only when that changes, a pair only when its mean has moved by a quarter, and a pace at info level only from and to full speed and standstill: the lines stay few in a large fleet.

Ruled out: one line for each pass or measurement, which a leader of thousands of steps couldn't write.

--- a/src/libsycamorespar/contention_model.cpp
+++ b/src/libsycamorespar/contention_model.cpp
@@ -5,11 +5,15 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace sycamorespar {
 
 namespace {
 
+/// A change of a pair's mean by this much is worth a line in the log.
+constexpr double considerable_change = 0.25;
+
 double seconds(duration span)
 {
     return std::chrono::duration<double>(span).count();
@@ -73,6 +77,27 @@
         added.first->second = hint.estimate;
 }
 
+std::vector<contention_hint> contention_model::take_changed_estimates()
+{
+    std::vector<contention_hint> changed;
+    for (auto const& [serving, backfills] : pairs_) {
+        for (auto const& [backfill, estimate] : backfills) {
+            auto const [told, is_new] = told_means_[serving].try_emplace(
+                backfill, settings_.unknown.mean);
+            bool const is_measured =
+                estimate.variance < settings_.unknown.variance;
+            bool const has_changed =
+                is_new ||
+                std::abs(told->second - estimate.mean) >= considerable_change;
+            if (!is_measured || !has_changed)
+                continue;
+            told->second = estimate.mean;
+            changed.push_back({serving, backfill, estimate});
+        }
+    }
+    return changed;
+}
+
 void contention_model::forget(run_id const& run)
 {
     own_.erase(run);
--- a/src/libsycamorespar/contention_model.hpp
+++ b/src/libsycamorespar/contention_model.hpp
@@ -102,6 +102,16 @@
     double load_at(std::string const& image, double tail) const;
     /// Adopts an estimate if its variance is lower than that of the own one.
     void apply_hint(contention_hint const& hint);
+    /// Moves out the estimates of pairs that have been measured and have
+    /// changed considerably since the last call.
+    std::vector<contention_hint> take_changed_estimates();
+    /// All estimates of pairs that have been measured, by the serving image and
+    /// the backfill image.
+    std::map<std::string, std::map<std::string, contention_estimate>> const&
+    pairs() const
+    {
+        return pairs_;
+    }
     /// Removes the own load of a serving task that has ended.
     void forget(run_id const& run);
 
@@ -117,6 +127,8 @@
     contention_settings settings_;
     std::map<run_id, own_load_state> own_;
     std::map<std::string, std::map<std::string, contention_estimate>> pairs_;
+    /// The means that take_changed_estimates() returned last.
+    std::map<std::string, std::map<std::string, double>> told_means_;
     /// Lowest tail latency measured for each image, as a part of its target.
     std::map<std::string, double> min_tails_;
 };
--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -957,6 +957,40 @@
     return ranking;
 }
 
+// A step that is full is tried on few workers: what they say can only bring
+// the task nearer.
+void graph_scheduler::note_wait(
+    waiting_queue::container::iterator step, backfill_wait const& wait)
+{
+    auto& noted = step->second.wait;
+    auto const before = noted.reason;
+    if (!step->second.is_full)
+        noted = {wait_reason::no_room, {}, 0.0};
+    noted.merge(wait);
+    if (noted.reason == before)
+        return;
+    scheduling_event event;
+    event.type = scheduling_event::kind::backfill_waits;
+    event.run.task = step->first.step;
+    event.wait = noted;
+    events_.push_back(std::move(event));
+}
+
+void graph_scheduler::note_accepted_contention(
+    run_id const& run, job_entry const& job, worker_id const& worker,
+    backfill_wait const& contention, monotonic_time now)
+{
+    ++counts_.accepted_contention;
+    scheduling_event event;
+    event.type = scheduling_event::kind::contention_accepted;
+    event.run = run;
+    event.worker = worker;
+    event.wait = contention;
+    event.waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - job.idle_since);
+    events_.push_back(std::move(event));
+}
+
 void graph_scheduler::place_tasks(
     waiting_queue::container::iterator step, job_entry& job,
     placement_pass const& pass)
@@ -975,10 +1009,17 @@
             return;
         auto* const worker = ranking->best();
         if (worker == nullptr) {
+            if (ranking->query().fills)
+                note_wait(step, ranking->wait());
             step->second.is_full = true;
             return;
         }
-        start_on(*worker, {task, job.progress.begin_run(task)}, job);
+        run_id const run{task, job.progress.begin_run(task)};
+        if (ranking->query().allows_contention)
+            note_accepted_contention(
+                run, job, worker->id, ranking->contention_on(*worker),
+                pass.now);
+        start_on(*worker, run, job);
         waiting_.erase_task(step, index);
         // Only the first task of a job may be placed despite contention.
         if (ranking->query().allows_contention)
@@ -1050,7 +1091,7 @@
     query.fills = step.fills;
     query.backfill_millicores = place.facts.backfill_millicores;
     query.image = step.image;
-    query.allows_contention = job.live_runs.empty() &&
+    query.allows_contention = step.fills && job.live_runs.empty() &&
                               now - job.idle_since >= limits_.max_backfill_wait;
     query.serves = step.target > std::chrono::milliseconds::zero();
     query.required_label = step.required_label;
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -122,7 +122,11 @@
         /// begun; the runs are lost.
         worker_gone,
         /// A job has ended; the end is not written to the store yet.
-        job_ended
+        job_ended,
+        /// The tasks of a backfill step wait for another reason than before.
+        backfill_waits,
+        /// A backfill run was ordered where it causes contention.
+        contention_accepted
     };
     /// What happened.
     kind type = kind::run_ordered;
@@ -142,6 +146,11 @@
     /// The time since the worker's last report; only for lease_lapsed and
     /// worker_gone.
     std::chrono::milliseconds silence{0};
+    /// Why the tasks wait, or which image the run harms; only for
+    /// backfill_waits and contention_accepted.
+    backfill_wait wait = {};
+    /// How long the job has had no run; only for contention_accepted.
+    std::chrono::milliseconds waited{0};
 };
 
 /// Counters of the scheduler, for metrics.
@@ -149,6 +158,8 @@
 {
     /// Runs ordered.
     std::uint64_t ordered = 0;
+    /// Backfill runs ordered where they cause contention.
+    std::uint64_t accepted_contention = 0;
     /// Stops ordered.
     std::uint64_t stops = 0;
     /// Runs ended, by the way they ended.
@@ -255,6 +266,17 @@
     {
         return waiting_.size_by_priority();
     }
+    /// The number of backfill tasks that wait, by the reason.
+    std::map<wait_reason, std::size_t> waiting_by_reason() const
+    {
+        return waiting_.backfill_by_reason();
+    }
+    /// Moves out the estimates of contention that have changed considerably
+    /// since the last call, for logs.
+    std::vector<contention_hint> take_changed_estimates()
+    {
+        return workers_.take_changed_estimates();
+    }
     /// True once every worker on which an earlier scheduler may have started
     /// runs has reported, has left, or has had its lease lapse.
     bool is_settled() const { return unsettled_workers_.empty(); }
@@ -360,6 +382,11 @@
     void place_gang_step(
         waiting_queue::container::iterator step, job_entry& job,
         placement_pass const& pass);
+    void note_wait(
+        waiting_queue::container::iterator step, backfill_wait const& wait);
+    void note_accepted_contention(
+        run_id const& run, job_entry const& job, worker_id const& worker,
+        backfill_wait const& contention, monotonic_time now);
     void place_tasks(
         waiting_queue::container::iterator step, job_entry& job,
         placement_pass const& pass);
--- a/src/libsycamorespar/pace_control.cpp
+++ b/src/libsycamorespar/pace_control.cpp
@@ -96,6 +96,10 @@
                tail_of(found->second) <= 1.0;
     });
     is_backfill_stopped_ = false;
+    if (measured_at_ != monotonic_time{})
+        time_over_target_ += (now - measured_at_) *
+                             static_cast<std::int64_t>(missed_since_.size());
+    measured_at_ = now;
     for (auto const& [run, tracked] : runs) {
         if (!is_serving(tracked) || tail_of(tracked) <= 1.0)
             continue;
@@ -129,12 +133,21 @@
     return known.mean + limits_.deviation_weight * std::sqrt(known.variance);
 }
 
+void pace_control::allowed_speed::cut(double by, run_id const& serving)
+{
+    speed *= 1.0 - by;
+    if (by <= largest_cut)
+        return;
+    largest_cut = by;
+    slowed_for = serving;
+}
+
 // For one serving task this is a fractional knapsack: slowing the tasks with
 // the most contention per processor first loses the least backfill work.
 void pace_control::slow_for(
     run_id const& serving, tracked_run const& tracked,
     std::map<run_id, tracked_run> const& runs,
-    std::map<run_id, double>& speeds) const
+    std::map<run_id, allowed_speed>& speeds) const
 {
     struct cause
     {
@@ -152,7 +165,7 @@
         auto const rate = contention_of(tracked, backfill);
         auto const contention =
             rate * share_of(backfill.order.facts.backfill_millicores) *
-            speeds.at(run);
+            speeds.at(run).speed;
         causes.push_back({run, rate, contention});
         excess += contention;
     }
@@ -165,7 +178,7 @@
         if (excess <= 0.0 || each.contention <= 0.0)
             return;
         auto const cut = std::min(excess, each.contention);
-        speeds.at(each.run) *= 1.0 - cut / each.contention;
+        speeds.at(each.run).cut(cut / each.contention, serving);
         excess -= cut;
     }
 }
@@ -185,29 +198,64 @@
     };
     std::erase_if(sent_percents_, has_ended);
     std::erase_if(first_seen_at_, has_ended);
-    std::map<run_id, double> speeds;
+    std::map<run_id, allowed_speed> speeds;
     for (auto const& [run, tracked] : runs) {
-        if (is_backfill(tracked))
-            speeds.emplace(run, is_backfill_stopped_ ? 0.0 : 1.0);
+        if (!is_backfill(tracked))
+            continue;
+        auto& allowed = speeds[run];
+        if (auto const missed = longest_miss(); is_backfill_stopped_ && missed)
+            allowed.cut(1.0, *missed);
     }
     for (auto const& [run, tracked] : runs) {
         if (is_serving(tracked) && !speeds.empty())
             slow_for(run, tracked, runs, speeds);
     }
     std::vector<pace_change> changes;
-    for (auto const& [run, speed] : speeds) {
-        auto const percent =
-            static_cast<std::uint32_t>(std::lround(speed * double{full_pace}));
+    for (auto const& [run, allowed] : speeds) {
+        auto const percent = static_cast<std::uint32_t>(
+            std::lround(allowed.speed * double{full_pace}));
         auto const first = first_pace(runs.at(run));
         auto& sent = sent_percents_.try_emplace(run, first).first->second;
         if (sent && !is_change(*sent, percent))
             continue;
+        changes.push_back({run, percent, sent, allowed.slowed_for});
         sent = percent;
-        changes.push_back({run, percent});
     }
     return changes;
 }
 
+std::optional<run_id> pace_control::longest_miss() const
+{
+    auto const longest = std::min_element(
+        missed_since_.begin(), missed_since_.end(),
+        [](auto const& left, auto const& right) {
+            return left.second < right.second;
+        });
+    if (longest == missed_since_.end())
+        return std::nullopt;
+    return longest->first;
+}
+
+pace_summary
+pace_control::summary(std::map<run_id, tracked_run> const& runs) const
+{
+    pace_summary sums;
+    for (auto const& [run, tracked] : runs) {
+        if (is_serving(tracked)) {
+            ++sums.serving;
+            sums.over_target += tail_of(tracked) > 1.0 ? 1U : 0U;
+            sums.worst_tail = std::max(sums.worst_tail, tail_of(tracked));
+        }
+        if (!is_backfill(tracked))
+            continue;
+        auto const pace = pace_of(run);
+        ++(pace == 0           ? sums.stopped
+           : pace == full_pace ? sums.full
+                               : sums.slowed);
+    }
+    return sums;
+}
+
 std::uint32_t pace_control::pace_of(run_id const& run) const
 {
     auto const found = sent_percents_.find(run);
--- a/src/libsycamorespar/pace_control.hpp
+++ b/src/libsycamorespar/pace_control.hpp
@@ -42,6 +42,27 @@
     run_id run;
     /// Percentage of its full speed, 0 to 100.
     std::uint32_t percent = 100;
+    /// The pace that it had; none while that is unknown.
+    std::optional<std::uint32_t> before = {};
+    /// The serving run that slows it most; none at full speed.
+    std::optional<run_id> slowed_for = {};
+};
+
+/// What pace control does on a worker, for metrics.
+struct pace_summary
+{
+    /// Backfill runs at full speed.
+    std::size_t full = 0;
+    /// Backfill runs that are slowed.
+    std::size_t slowed = 0;
+    /// Backfill runs that stand still.
+    std::size_t stopped = 0;
+    /// Serving runs at work.
+    std::size_t serving = 0;
+    /// Serving runs whose tail latency is over its target.
+    std::size_t over_target = 0;
+    /// The highest tail latency of a serving run, as a part of its target.
+    double worst_tail = 0.0;
 };
 
 /// Chooses the pace of each backfill task on a worker. Tasks that cause the
@@ -66,6 +87,10 @@
     /// full speed until another pace is sent.
     std::vector<pace_change>
     take_changes(std::map<run_id, tracked_run> const& runs);
+    /// What it does now.
+    pace_summary summary(std::map<run_id, tracked_run> const& runs) const;
+    /// The time that serving runs were over their target, summed over the runs.
+    duration time_over_target() const { return time_over_target_; }
     /// Pace last sent to a run, in percent; 100 if none was sent or accepted.
     std::uint32_t pace_of(run_id const& run) const;
     /// Processes the result of sending a pace. After one that was not accepted
@@ -77,10 +102,21 @@
         std::map<run_id, tracked_run> const& runs, monotonic_time now);
     void
     track_misses(std::map<run_id, tracked_run> const& runs, monotonic_time now);
+    /// The speed that a backfill run may have.
+    struct allowed_speed
+    {
+        double speed = 1.0;
+        /// The largest cut for one serving run, and that run.
+        double largest_cut = 0.0;
+        std::optional<run_id> slowed_for = {};
+
+        void cut(double by, run_id const& serving);
+    };
     void slow_for(
         run_id const& serving, tracked_run const& tracked,
         std::map<run_id, tracked_run> const& runs,
-        std::map<run_id, double>& speeds) const;
+        std::map<run_id, allowed_speed>& speeds) const;
+    std::optional<run_id> longest_miss() const;
     bool is_change(std::uint32_t from, std::uint32_t to) const;
     double share_of(std::int64_t millicores) const;
     double effective_share(tracked_run const& backfill, monotonic_time now);
@@ -93,6 +129,8 @@
     bool is_backfill_stopped_ = false;
     std::optional<monotonic_time> model_updated_at_;
     std::map<run_id, monotonic_time> missed_since_;
+    duration time_over_target_{0};
+    monotonic_time measured_at_{};
     std::map<run_id, monotonic_time> first_seen_at_;
     /// The pace in effect of each backfill task; none while it is unknown.
     std::map<run_id, std::optional<std::uint32_t>> sent_percents_;
--- a/src/libsycamorespar/placement_query.cpp
+++ b/src/libsycamorespar/placement_query.cpp
@@ -121,15 +121,16 @@
 
 std::optional<double> placement_scorer::score(registered_worker const& worker)
 {
-    if (!may_take_work(worker) || !meets_requirements(worker))
+    if (!may_take_work(worker) || !meets_requirements(worker)) {
+        wait_.merge({wait_reason::no_room, {}, 0.0});
         return std::nullopt;
+    }
     double total = free_part(worker);
     if (query_.fills) {
-        auto const headroom = contention_headroom(worker);
-        auto const utilization = idle_utilization(worker, query_);
-        if (!query_.allows_contention && (headroom < 1.0 || utilization > 1.0))
+        auto const backfill = backfill_score(worker);
+        if (!backfill)
             return std::nullopt;
-        total = headroom - utilization;
+        total = *backfill;
     } else if (query_.serves) {
         total =
             -backfill_loss(worker, query_) - packing_weight * free_part(worker);
@@ -142,6 +143,21 @@
     return total;
 }
 
+std::optional<double>
+placement_scorer::backfill_score(registered_worker const& worker)
+{
+    auto const contention = contention_on(worker);
+    auto const utilization = idle_utilization(worker, query_);
+    bool const is_busy = utilization > 1.0;
+    if (!query_.allows_contention && (contention.headroom < 1.0 || is_busy)) {
+        wait_.merge(
+            is_busy ? backfill_wait{wait_reason::no_idle_processors, {}, 0.0}
+                    : contention);
+        return std::nullopt;
+    }
+    return contention.headroom - utilization;
+}
+
 double placement_scorer::added_load(std::string const& image)
 {
     for (auto const& [known, load] : added_loads_) {
@@ -157,14 +173,16 @@
 // The part of its full speed at which the backfill task could run without
 // pushing any serving task over its planned tail latency, given the backfill
 // tasks that already run there. Above 1 it can run at full speed.
-double placement_scorer::contention_headroom(registered_worker const& worker)
+backfill_wait placement_scorer::contention_on(registered_worker const& worker)
 {
-    double least = max_headroom;
+    backfill_wait least{wait_reason::contention, {}, max_headroom};
     for (auto const& serving : *worker.headroom) {
         auto const added = added_load(serving.image) *
                            worker.share_of(query_.backfill_millicores);
-        if (added >= negligible_load)
-            least = std::min(least, serving.left / added);
+        if (added < negligible_load || serving.left / added >= least.headroom)
+            continue;
+        least.serving_image = serving.image;
+        least.headroom = serving.left / added;
     }
     return least;
 }
--- a/src/libsycamorespar/placement_query.hpp
+++ b/src/libsycamorespar/placement_query.hpp
@@ -2,6 +2,7 @@
 #ifndef SYCAMORESPAR_PLACEMENT_QUERY_HPP
 #define SYCAMORESPAR_PLACEMENT_QUERY_HPP
 
+#include "libsycamorespar/backfill_wait.hpp"
 #include "libsycamorespar/registered_worker.hpp"
 
 #include <cstdint>
@@ -60,13 +61,17 @@
     /// The score of a worker, higher is better; none if it can't take the task
     /// now.
     std::optional<double> score(registered_worker const& worker);
+    /// What kept a backfill task from the workers without a score.
+    backfill_wait const& wait() const { return wait_; }
+    /// The serving image that a backfill task harms most on a worker, and the
+    /// part of the task's full speed that it can bear.
+    backfill_wait contention_on(registered_worker const& worker);
 
 private:
     bool may_take_work(registered_worker const& worker) const;
     bool meets_requirements(registered_worker const& worker) const;
     double added_load(std::string const& image);
-    double contention_headroom(registered_worker const& worker);
-    double backfill_score(registered_worker const& worker);
+    std::optional<double> backfill_score(registered_worker const& worker);
 
     placement_query query_;
     contention_model const& contention_;
@@ -75,6 +80,7 @@
     /// Pessimistic load that the task adds to a serving image on the whole
     /// processors of a worker.
     std::vector<std::pair<std::string, double>> added_loads_;
+    backfill_wait wait_;
 };
 
 } // namespace sycamorespar
--- a/src/libsycamorespar/waiting_queue.cpp
+++ b/src/libsycamorespar/waiting_queue.cpp
@@ -46,6 +46,16 @@
     return steps_.erase(at);
 }
 
+std::map<wait_reason, std::size_t> waiting_queue::backfill_by_reason() const
+{
+    std::map<wait_reason, std::size_t> counts;
+    for (auto const& [position, step] : steps_) {
+        if (step.wait.reason != wait_reason::untried)
+            counts[step.wait.reason] += step.tasks.size();
+    }
+    return counts;
+}
+
 std::map<std::int32_t, std::size_t> waiting_queue::size_by_priority() const
 {
     std::map<std::int32_t, std::size_t> counts;
--- a/src/libsycamorespar/waiting_queue.hpp
+++ b/src/libsycamorespar/waiting_queue.hpp
@@ -2,6 +2,7 @@
 #ifndef SYCAMORESPAR_WAITING_QUEUE_HPP
 #define SYCAMORESPAR_WAITING_QUEUE_HPP
 
+#include "libsycamorespar/backfill_wait.hpp"
 #include "libsycamorespar/clock.hpp"
 #include "libsycamorespar/job_graph.hpp"
 
@@ -35,6 +36,9 @@
     /// Every worker has been tried since the last change of the configuration,
     /// and none could take a task.
     bool is_full = false;
+    /// Why its tasks wait, if they are backfill tasks, when every worker was
+    /// tried last.
+    backfill_wait wait;
 };
 
 /// The waiting tasks by step, in the order in which they are placed.
@@ -52,6 +56,8 @@
     void clear();
     /// Every worker must be tried for every step again.
     void forget_full_steps();
+    /// The number of backfill tasks by the reason for which they wait.
+    std::map<wait_reason, std::size_t> backfill_by_reason() const;
     /// The first step.
     container::iterator begin() { return steps_.begin(); }
     /// The end of the steps.
--- a/src/libsycamorespar/worker_ranking.hpp
+++ b/src/libsycamorespar/worker_ranking.hpp
@@ -33,6 +33,13 @@
     void rerank_best();
     /// The requirements.
     placement_query const& query() const { return scorer_.query(); }
+    /// What kept a backfill task from the workers that weren't ranked.
+    backfill_wait const& wait() const { return scorer_.wait(); }
+    /// What a backfill task harms most on a worker.
+    backfill_wait contention_on(registered_worker const& worker)
+    {
+        return scorer_.contention_on(worker);
+    }
 
 private:
     struct ranked_worker
--- a/src/libsycamorespar/worker_registry.hpp
+++ b/src/libsycamorespar/worker_registry.hpp
@@ -100,6 +100,12 @@
     void update_contention(registered_worker& worker, monotonic_time now);
     /// Computes the headroom of the worker's serving tasks if it is outdated.
     void update_headroom(registered_worker& worker, monotonic_time now) const;
+    /// Moves out the estimates that have changed considerably since the last
+    /// call.
+    std::vector<contention_hint> take_changed_estimates()
+    {
+        return contention_.take_changed_estimates();
+    }
     /// The model forgets the own load of a run that has ended.
     void forget_run(run_id const& run) { contention_.forget(run); }
     /// Estimates of the contention that a backfill image causes to each serving
--- a/src/spar-runner/runner_daemon.cpp
+++ b/src/spar-runner/runner_daemon.cpp
@@ -49,7 +49,8 @@
           [this] { call_worker(); }),
       metrics_(loop_, [this] {
           return render_runner_metrics(
-              counts_, tracker_, report_sender_.answered(), event_loop::now());
+              counts_, tracker_, pacing_, report_sender_.answered(),
+              event_loop::now());
       })
 {}
 
@@ -345,10 +346,40 @@
              {"percent", tracked.latest.percent}});
 }
 
+// A pace that stays between full speed and none changes often, and tells
+// little.
+void runner_daemon::log_pace(pace_change const& change) const
+{
+    constexpr std::uint32_t full_pace = 100;
+    auto const is_bound = [](std::uint32_t percent) {
+        return percent == 0 || percent == full_pace;
+    };
+    bool const is_notable =
+        !change.before || is_bound(*change.before) || is_bound(change.percent);
+    auto const level = is_notable ? log_level::info : log_level::debug;
+    if (!is_logged(level))
+        return;
+    auto const& runs = tracker_.runs();
+    tracked_run const none;
+    auto const found =
+        change.slowed_for ? runs.find(*change.slowed_for) : runs.end();
+    auto const& serving = found == runs.end() ? none : found->second;
+    log_event(
+        level, "pace_changed",
+        {{"task", to_string(change.run.task)},
+         {"run", change.run.number},
+         {"image", runs.at(change.run).order.facts.image},
+         {"percent", change.percent},
+         {"for", serving.order.facts.image},
+         {"tail_ms", serving.latest.measurement},
+         {"target_ms", serving.order.facts.target.count()}});
+}
+
 void runner_daemon::pace()
 {
     for (auto const& change : pacing_.take_changes(tracker_.runs())) {
         ++counts_.paces;
+        log_pace(change);
         worker_.pace(
             tracker_.facts().incarnation, change.run, change.percent,
             tracker_.token(),
--- a/src/spar-runner/runner_daemon.hpp
+++ b/src/spar-runner/runner_daemon.hpp
@@ -44,6 +44,7 @@
         poll_call const& call, platform::poll_answer const& answer);
     void pace();
     void log_measurements() const;
+    void log_pace(pace_change const& change) const;
     void handle_token_result(call_outcome result, std::uint64_t token);
     void tick();
 
--- a/src/spar-runner/runner_metrics.cpp
+++ b/src/spar-runner/runner_metrics.cpp
@@ -8,11 +8,45 @@
 
 namespace sycamorespar {
 
+namespace {
+
+void add_paces(
+    metrics_page& to, pace_control const& pacing, run_tracker const& tracker)
+{
+    auto const sums = pacing.summary(tracker.runs());
+    constexpr char const* name = "spar_backfill_runs";
+    constexpr char const* help = "Backfill runs by their pace.";
+    auto const add = [&](char const* pace, std::size_t count) {
+        to.add_gauge(name, help, static_cast<double>(count), {{"pace", pace}});
+    };
+    add("full", sums.full);
+    add("slowed", sums.slowed);
+    add("stopped", sums.stopped);
+    to.add_gauge(
+        "spar_serving_runs", "Serving runs at work.",
+        static_cast<double>(sums.serving));
+    to.add_gauge(
+        "spar_serving_over_target",
+        "Serving runs whose tail latency is over its target.",
+        static_cast<double>(sums.over_target));
+    to.add_gauge(
+        "spar_serving_worst_tail_ratio",
+        "The highest tail latency, as a part of its target.", sums.worst_tail);
+    to.add_gauge(
+        "spar_serving_over_target_seconds",
+        "Time over target since the start, summed over serving runs.",
+        std::chrono::duration<double>(pacing.time_over_target()).count());
+}
+
+} // namespace
+
 std::string render_runner_metrics(
     runner_counts const& counts, run_tracker const& tracker,
-    std::uint64_t answered_reports, monotonic_time now)
+    pace_control const& pacing, std::uint64_t answered_reports,
+    monotonic_time now)
 {
     metrics_page page;
+    add_paces(page, pacing, tracker);
     for (auto const& [result, count] : counts.starts)
         page.add_counter(
             "spar_starts", "Starts, by what the worker said.", count,
--- a/src/spar-runner/runner_metrics.hpp
+++ b/src/spar-runner/runner_metrics.hpp
@@ -2,6 +2,7 @@
 #ifndef SYCAMORESPAR_SPAR_RUNNER_RUNNER_METRICS_HPP
 #define SYCAMORESPAR_SPAR_RUNNER_RUNNER_METRICS_HPP
 
+#include "libsycamorespar/pace_control.hpp"
 #include "libsycamorespar/run_tracker.hpp"
 
 #include <cstdint>
@@ -30,7 +31,8 @@
 /// Renders the metrics page as text.
 std::string render_runner_metrics(
     runner_counts const& counts, run_tracker const& tracker,
-    std::uint64_t answered_reports, monotonic_time now);
+    pace_control const& pacing, std::uint64_t answered_reports,
+    monotonic_time now);
 
 } // namespace sycamorespar
 
--- a/src/spar-scheduler/scheduler_metrics.cpp
+++ b/src/spar-scheduler/scheduler_metrics.cpp
@@ -67,7 +67,15 @@
             "spar_tasks_waiting", "Tasks without a place, by priority.",
             static_cast<double>(count),
             {{"priority", std::to_string(priority)}});
+    for (auto const& [reason, count] : from.waiting_by_reason())
+        to.add_gauge(
+            "spar_backfill_waiting", "Backfill tasks without a place, by why.",
+            static_cast<double>(count), {{"reason", to_string(reason)}});
     auto const& counts = from.counts();
+    to.add_counter(
+        "spar_contention_accepted",
+        "Backfill runs ordered where they harm serving tasks.",
+        counts.accepted_contention);
     to.add_counter("spar_runs_ordered", "Runs ordered.", counts.ordered);
     to.add_counter("spar_stops_ordered", "Stops ordered.", counts.stops);
     to.add_gauge(
@@ -87,6 +95,26 @@
         from.is_settled() ? 1 : 0);
 }
 
+/// Counts the estimates by what a backfill task on a tenth of a worker's
+/// processors adds to the load of a serving task.
+void add_contention(metrics_page& to, contention_model const& from)
+{
+    constexpr double tenth = 0.1;
+    constexpr double harmless_load = 0.015;
+    std::size_t harmless = 0;
+    std::size_t harmful = 0;
+    for (auto const& [serving, backfills] : from.pairs()) {
+        for (auto const& [backfill, estimate] : backfills)
+            ++(estimate.mean * tenth < harmless_load ? harmless : harmful);
+    }
+    constexpr char const* name = "spar_contention_pairs";
+    constexpr char const* help = "Estimated pairs of images, by contention.";
+    to.add_gauge(
+        name, help, static_cast<double>(harmless), {{"kind", "harmless"}});
+    to.add_gauge(
+        name, help, static_cast<double>(harmful), {{"kind", "harmful"}});
+}
+
 void add_workers(
     metrics_page& to, graph_scheduler const& from, monotonic_time now)
 {
@@ -127,6 +155,7 @@
     if (from.scheduler != nullptr) {
         add_work(page, *from.scheduler);
         add_workers(page, *from.scheduler, now);
+        add_contention(page, from.scheduler->workers().contention());
     }
     if (from.writer != nullptr) {
         page.add_counter(
--- a/src/spar-scheduler/scheduling_term.cpp
+++ b/src/spar-scheduler/scheduling_term.cpp
@@ -6,6 +6,7 @@
 #include "records/record_keys.hpp"
 
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 namespace sycamorespar {
@@ -19,6 +20,9 @@
 /// Delay before another attempt to read the records.
 constexpr milliseconds read_retry_pause{100};
 
+/// Estimates of contention that have changed are logged this often.
+constexpr milliseconds estimate_log_interval{1000};
+
 /// A view of the jobs that is older than this is not stated to callers. In
 /// quiet times the watch alone lets it grow to two of its waits.
 constexpr milliseconds max_view_age{2500};
@@ -332,10 +336,43 @@
         case kind::run_ended:
             log_run(event, "run_ended", to_string(event.how));
             break;
+        case kind::backfill_waits:
+            log_event(
+                log_level::info, "backfill_waits",
+                {{"task", to_string(event.run.task)},
+                 {"reason", to_string(event.wait.reason)},
+                 {"harms", event.wait.serving_image},
+                 {"headroom", event.wait.headroom}});
+            break;
+        case kind::contention_accepted:
+            log_event(
+                log_level::info, "contention_accepted",
+                {{"task", to_string(event.run.task)},
+                 {"run", event.run.number},
+                 {"worker", event.worker.value},
+                 {"harms", event.wait.serving_image},
+                 {"headroom", event.wait.headroom},
+                 {"waited_ms", event.waited.count()}});
+            break;
         }
     }
 }
 
+void scheduling_term::log_estimates()
+{
+    auto const now = event_loop::now();
+    if (now < estimates_due_)
+        return;
+    estimates_due_ = now + estimate_log_interval;
+    for (auto const& each : scheduler_->take_changed_estimates())
+        log_event(
+            log_level::info, "contention_estimated",
+            {{"serving", each.serving_image},
+             {"backfill", each.backfill_image},
+             {"load", each.estimate.mean},
+             {"deviation", std::sqrt(each.estimate.variance)}});
+}
+
 void scheduling_term::log_lapse(scheduling_event const& event)
 {
     auto const age = std::chrono::duration_cast<milliseconds>(
@@ -361,6 +398,7 @@
     if (scheduler_->is_settled() && !std::exchange(is_settled_, true))
         log_event(log_level::info, "workers_settled", {{"term", term_.value}});
     log_events();
+    log_estimates();
     for (auto const& worker : scheduler_->take_forgotten_workers()) {
         log_event(
             log_level::info, "worker_forgotten", {{"worker", worker.value}});
--- a/src/spar-scheduler/scheduling_term.hpp
+++ b/src/spar-scheduler/scheduling_term.hpp
@@ -80,6 +80,7 @@
     void apply_job(kv_item const& item);
     void plan();
     void log_events();
+    void log_estimates();
     void log_lapse(scheduling_event const& event);
 
     struct recorded_progress
@@ -101,6 +102,7 @@
     std::unique_ptr<prefix_watch> jobs_;
     event_id tick_ = 0;
     bool is_plan_due_ = false;
+    monotonic_time estimates_due_{};
     /// True once it was logged that all recorded workers are accounted for.
     bool is_settled_ = false;
     std::shared_ptr<bool> alive_;
--- a/tests/daemon_metrics_test.cpp
+++ b/tests/daemon_metrics_test.cpp
@@ -73,6 +73,8 @@
     auto const page = render_scheduler_metrics(source, test_start);
     CHECK(has_line(page, "spar_stops_ordered_total 2"));
     CHECK(has_line(page, "spar_runs_of_ended_jobs 2"));
+    CHECK(has_line(page, "spar_contention_accepted_total 0"));
+    CHECK(has_line(page, "spar_contention_pairs{kind=\"harmful\"} 0"));
 }
 
 TEST_CASE("the runner's page shows its calls and the lease")
@@ -81,11 +83,15 @@
     runner_counts counts;
     counts.starts[call_outcome::accepted] = 4;
     counts.starts[call_outcome::no_room] = 1;
-    auto const page = render_runner_metrics(counts, keeper, 9, test_start);
+    auto const page =
+        render_runner_metrics(counts, keeper, pace_control(), 9, test_start);
     CHECK(has_line(page, "spar_starts_total{result=\"accepted\"} 4"));
     CHECK(has_line(page, "spar_starts_total{result=\"no_room\"} 1"));
     CHECK(has_line(page, "spar_reports_answered_total 9"));
     CHECK(has_line(page, "spar_lease_left_seconds 0"));
+    CHECK(has_line(page, "spar_backfill_runs{pace=\"slowed\"} 0"));
+    CHECK(has_line(page, "spar_serving_over_target 0"));
+    CHECK(has_line(page, "spar_serving_over_target_seconds 0"));
 }
 
 TEST_CASE("only the metrics path is served")
--- a/tests/pace_control_test.cpp
+++ b/tests/pace_control_test.cpp
@@ -80,6 +80,38 @@
     CHECK(b.pacing.pace_of(light) == 100);
 }
 
+TEST_CASE("a slowed backfill task names the serving task that it is slowed for")
+{
+    bench on;
+    auto const calm = on.add_serving("calm", 5);
+    auto const web = on.add_serving("serve", 19);
+    auto const fill = on.add_backfill("fill", "fill");
+    on.pacing.on_measurements(on.runs, 16'000, on.now);
+    auto const changes = on.pacing.take_changes(on.runs);
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].run == fill);
+    CHECK(changes[0].before == 100);
+    CHECK(changes[0].percent < 100);
+    CHECK(changes[0].slowed_for == web);
+    auto const sums = on.pacing.summary(on.runs);
+    CHECK(sums.serving == 2);
+    CHECK(sums.over_target == 0);
+    CHECK(sums.worst_tail == 0.95);
+    CHECK(sums.full == 0);
+    CHECK(sums.slowed + sums.stopped == 1);
+}
+
+TEST_CASE("the time over target is summed over serving tasks")
+{
+    bench on;
+    on.add_serving("one", 25);
+    on.add_serving("two", 25);
+    on.add_serving("three", 10);
+    for (int measurement = 0; measurement < 6; ++measurement)
+        on.step();
+    CHECK(on.pacing.time_over_target() == 2 * 5 * 400ms);
+}
+
 TEST_CASE("a target that is missed for long stops all backfill tasks")
 {
     // They must stop even if the model wrongly estimates no contention.
