Bound the harm that is accepted for backfill, and keep workers whole

And each backfill job without a run for 1.2 s started one task wherever that harmed least, however many jobs waited.

Change: - Tasks that neither serve nor fill go beside serving tasks while there is room. - A serving task that opens a worker for its image shares the loss with all tasks of its step that have room there, and room beside another image has a price. So a step that fills a worker gets one, and isn't split over others' workers. - In a pool of which over 60% is reserved, one backfill run for 32 workers (at least one) may be live where it causes contention; the jobs take turns in their order, of 5 s at the most.

Tests first: contended_backfill_test failed in 4 cases (10 harmful runs at once; short tasks spread; a step split; a harmless run counted) and passes now. Its other cases guard what must stay: no job waits for ever, also beside one that stands still; in a free pool each job has a run.

--- a/src/libsycamorespar/backfill_wait.hpp
+++ b/src/libsycamorespar/backfill_wait.hpp
@@ -34,6 +34,8 @@
     /// contention.
     double headroom = 0.0;
 
+    /// True if the serving task bears the backfill task at full speed.
+    bool is_borne() const { return headroom >= 1.0; }
     /// Keeps the nearer of this and what another worker says.
     void merge(backfill_wait const& other);
 
--- a/src/libsycamorespar/graph_scheduler.cpp
+++ b/src/libsycamorespar/graph_scheduler.cpp
@@ -31,6 +31,9 @@
 /// a single job may fail on every worker.
 constexpr std::size_t min_failing_jobs = 2;
 
+/// A pool of which more than this part of the processors is reserved is busy.
+constexpr double busy_part = 0.6;
+
 /// False for a runner to which its worker has not listed its runs yet.
 bool is_confirmed(runner_report const& report)
 {
@@ -689,6 +692,7 @@
     if (!worker.runs.erase(run))
         return;
     workers_.forget_run(run);
+    contention_runs_.erase(run);
     auto* const job = find_job(run.task.job);
     invariant(job != nullptr, "a placed run belongs to a known job");
     if (job == nullptr)
@@ -839,6 +843,7 @@
 {
     housekeeping_due_ = now + limits_.housekeeping_interval;
     expire_silent_workers(now, confirmed_at);
+    update_pool_uses(now);
 }
 
 void graph_scheduler::expire_silent_workers(
@@ -945,9 +950,12 @@
     waiting_queue::container::iterator step, job_entry const& job,
     placement_pass const& pass, bool all)
 {
+    auto query = query_for(job, step->first.step, pass.now);
+    query.step_millicores =
+        query.need.millicores *
+        static_cast<std::int64_t>(step->second.tasks.size());
     worker_ranking ranking(
-        workers_, query_for(job, step->first.step, pass.now),
-        policy_.closed_domains, pass.now);
+        workers_, std::move(query), policy_.closed_domains, pass.now);
     if (all || (pass.includes_overdue && ranking.query().allows_contention)) {
         ranking.add_all();
         return ranking;
@@ -980,7 +988,11 @@
     run_id const& run, job_entry const& job, worker_id const& worker,
     backfill_wait const& contention, monotonic_time now)
 {
+    if (contention.is_borne())
+        return;
     ++counts_.accepted_contention;
+    ++pool_uses_[job.policy.pool].contention_runs;
+    contention_runs_[run] = {job.policy.pool, now};
     scheduling_event event;
     event.type = scheduling_event::kind::contention_accepted;
     event.run = run;
@@ -1080,6 +1092,45 @@
     }
 }
 
+// A job whose tasks every serving task minds would otherwise never run. While
+// most of the pool is free, few are harmed. In a busy pool each such run harms
+// many for little, and jobs that run side by side all end late: there the jobs
+// take turns, in their order.
+bool graph_scheduler::may_accept_contention(
+    job_entry const& job, graph_step const& step, monotonic_time now) const
+{
+    bool const is_overdue = step.fills && job.live_runs.empty() &&
+                            now - job.idle_since >= limits_.max_backfill_wait;
+    if (!is_overdue)
+        return false;
+    auto const found = pool_uses_.find(job.policy.pool);
+    if (found == pool_uses_.end())
+        return false;
+    auto const& use = found->second;
+    bool const is_busy = static_cast<double>(use.reserved_millicores) >
+                         busy_part * static_cast<double>(use.millicores);
+    auto const most = std::max(
+        std::size_t{1}, use.workers / limits_.workers_per_contention_run);
+    return !is_busy || use.contention_runs < most;
+}
+
+void graph_scheduler::update_pool_uses(monotonic_time now)
+{
+    pool_uses_.clear();
+    for (auto const& [id, worker] : workers_.all()) {
+        if (!worker.is_usable())
+            continue;
+        auto& use = pool_uses_[worker.facts.pool];
+        ++use.workers;
+        use.reserved_millicores += worker.runs.reserved().millicores;
+        use.millicores += worker.facts.capacity.millicores;
+    }
+    for (auto const& [run, contention] : contention_runs_) {
+        if (now - contention.ordered_at < limits_.contention_turn)
+            ++pool_uses_[contention.pool].contention_runs;
+    }
+}
+
 placement_query graph_scheduler::query_for(
     job_entry const& job, task_id const& task, monotonic_time now) const
 {
@@ -1091,8 +1142,7 @@
     query.fills = step.fills;
     query.backfill_millicores = place.facts.backfill_millicores;
     query.image = step.image;
-    query.allows_contention = step.fills && job.live_runs.empty() &&
-                              now - job.idle_since >= limits_.max_backfill_wait;
+    query.allows_contention = may_accept_contention(job, step, now);
     query.serves = step.target > std::chrono::milliseconds::zero();
     query.required_label = step.required_label;
     query.preferred_rack = step.data_rack;
--- a/src/libsycamorespar/graph_scheduler.hpp
+++ b/src/libsycamorespar/graph_scheduler.hpp
@@ -63,9 +63,16 @@
     std::chrono::milliseconds first_cooldown{1000};
     /// The longest cooldown.
     std::chrono::milliseconds longest_cooldown{8000};
-    /// A backfill task of a job that has had no run for this long is placed
-    /// even where it causes contention; the runner then throttles it.
+    /// A backfill task of a job that has had no run for this long may be placed
+    /// even where it causes contention; the runner then throttles it. In a pool
+    /// of which most processors are reserved, only a few such runs may be live.
     std::chrono::milliseconds max_backfill_wait{1200};
+    /// Where most processors of a pool are reserved, it may have one run that
+    /// causes contention for this many workers, and at least one.
+    std::size_t workers_per_contention_run = 32;
+    /// A run that causes contention counts for this long at the most, so that
+    /// one that stands still doesn't hold up the others for ever.
+    std::chrono::milliseconds contention_turn{5000};
     /// Jobs of equal priority are ordered by virtual finish time: the arrival
     /// plus the time that the job's estimated work takes on this many
     /// thousandths of a core. Small jobs overtake large ones this way, but
@@ -293,6 +300,21 @@
         std::map<run_id, worker_id> live_runs;
         monotonic_time idle_since{};
     };
+    /// How much of a pool is in use.
+    struct pool_use
+    {
+        std::size_t workers = 0;
+        std::int64_t reserved_millicores = 0;
+        std::int64_t millicores = 0;
+        /// Backfill runs that were ordered where they cause contention.
+        std::size_t contention_runs = 0;
+    };
+    /// A live run that was ordered where it causes contention.
+    struct contention_run
+    {
+        pool_id pool;
+        monotonic_time ordered_at{};
+    };
     /// What one pass of placement knows.
     struct placement_pass
     {
@@ -382,6 +404,9 @@
     void place_gang_step(
         waiting_queue::container::iterator step, job_entry& job,
         placement_pass const& pass);
+    void update_pool_uses(monotonic_time now);
+    bool may_accept_contention(
+        job_entry const& job, graph_step const& step, monotonic_time now) const;
     void note_wait(
         waiting_queue::container::iterator step, backfill_wait const& wait);
     void note_accepted_contention(
@@ -426,6 +451,9 @@
     std::set<worker_id> updated_workers_;
     monotonic_time housekeeping_due_{};
     std::uint64_t session_count_ = 0;
+    /// As of the last housekeeping, with the runs ordered since.
+    std::map<pool_id, pool_use> pool_uses_;
+    std::map<run_id, contention_run> contention_runs_;
     std::vector<scheduling_event> events_;
     schedule_counts counts_;
 };
--- a/src/libsycamorespar/placement_query.cpp
+++ b/src/libsycamorespar/placement_query.cpp
@@ -21,8 +21,13 @@
 constexpr double share_left_per_image = 0.35;
 
 /// Breaks ties between workers that lose the same capacity for backfill tasks:
-/// prefers the worker with less free capacity.
-constexpr double packing_weight = 0.05;
+/// serving tasks prefer the worker with less free capacity, others the one with
+/// more.
+constexpr double free_part_weight = 0.05;
+
+/// Expected part of the free room beside serving tasks of one image that later
+/// tasks of the image need.
+constexpr double room_needed_by_image = 0.5;
 
 /// Standard deviations that are added to an estimate of contention. Estimates
 /// are pessimistic because a badly placed backfill task costs its neighbours
@@ -56,29 +61,63 @@
     return wanted / std::max(idle, min_idle_share);
 }
 
-/// Expected capacity for backfill tasks, in millicores, of a worker with this
-/// many serving images.
-double backfill_capacity(
-    registered_worker const& worker, std::size_t images, std::int64_t reserved)
+/// Expected part of the idle processors of a worker with this many serving
+/// images that backfill tasks can use.
+double usable_part(std::size_t images)
+{
+    return std::pow(share_left_per_image, static_cast<double>(images));
+}
+
+/// The capacity for backfill tasks that a task takes away by the processors
+/// that it uses, as a multiple of what it reserves.
+double loss_by_use(registered_worker const& worker)
+{
+    return usual_utilization * usable_part(worker.runs.serving_images());
+}
+
+/// The millicores that tasks of the step would reserve on the worker.
+std::int64_t
+step_room(registered_worker const& worker, placement_query const& query)
 {
-    auto const idle = static_cast<double>(worker.facts.capacity.millicores) -
-                      usual_utilization * static_cast<double>(reserved);
-    return idle * std::pow(share_left_per_image, static_cast<double>(images));
+    auto const need = std::max(query.need.millicores, std::int64_t{1});
+    auto room = std::min(
+        worker.facts.capacity.millicores - worker.runs.reserved().millicores,
+        query.step_millicores);
+    if (query.max_per_worker > 0)
+        room = std::min(room, need * std::int64_t{query.max_per_worker});
+    return std::max(room, need);
 }
 
-/// The capacity for backfill tasks that a serving task would take away, as a
-/// multiple of what the task reserves.
+/// The capacity for backfill tasks that a serving image takes away from a
+/// worker on which it doesn't run yet, as a multiple of what its tasks reserve
+/// there.
 double
-backfill_loss(registered_worker const& worker, placement_query const& query)
+loss_by_image(registered_worker const& worker, placement_query const& query)
 {
     auto const images = worker.runs.serving_images();
-    auto const added = worker.runs.serves_image(query.image) ? 0U : 1U;
-    auto const reserved = worker.runs.reserved().millicores;
-    auto const before = backfill_capacity(worker, images, reserved);
-    auto const after = backfill_capacity(
-        worker, images + added, reserved + query.need.millicores);
-    auto const need = std::max(query.need.millicores, std::int64_t{1});
-    return (before - after) / static_cast<double>(need);
+    auto const idle =
+        static_cast<double>(worker.facts.capacity.millicores) -
+        usual_utilization *
+            static_cast<double>(worker.runs.reserved().millicores);
+    auto const lost = idle * (usable_part(images) - usable_part(images + 1));
+    auto const loss = lost / static_cast<double>(step_room(worker, query));
+    if (images == 0)
+        return loss;
+    // The room was opened for other images, whose later tasks will need another
+    // worker.
+    return loss + room_needed_by_image * (1.0 - share_left_per_image);
+}
+
+/// The capacity for backfill tasks that a serving task takes away, as a
+/// multiple of what the task reserves. A worker that takes its first task of an
+/// image is lost to most backfill tasks; that loss is shared by all tasks of
+/// the step that have room there.
+double
+serving_loss(registered_worker const& worker, placement_query const& query)
+{
+    if (worker.runs.serves_image(query.image))
+        return loss_by_use(worker);
+    return loss_by_image(worker, query);
 }
 
 double free_part(registered_worker const& worker)
@@ -125,15 +164,17 @@
         wait_.merge({wait_reason::no_room, {}, 0.0});
         return std::nullopt;
     }
-    double total = free_part(worker);
+    double total = 0.0;
     if (query_.fills) {
         auto const backfill = backfill_score(worker);
         if (!backfill)
             return std::nullopt;
         total = *backfill;
     } else if (query_.serves) {
-        total =
-            -backfill_loss(worker, query_) - packing_weight * free_part(worker);
+        total = -serving_loss(worker, query_) -
+                free_part_weight * free_part(worker);
+    } else {
+        total = free_part_weight * free_part(worker) - loss_by_use(worker);
     }
     if (!query_.preferred_rack.value.empty() &&
         worker.has_label(query_.preferred_rack.value))
@@ -149,7 +190,7 @@
     auto const contention = contention_on(worker);
     auto const utilization = idle_utilization(worker, query_);
     bool const is_busy = utilization > 1.0;
-    if (!query_.allows_contention && (contention.headroom < 1.0 || is_busy)) {
+    if (!query_.allows_contention && (!contention.is_borne() || is_busy)) {
         wait_.merge(
             is_busy ? backfill_wait{wait_reason::no_idle_processors, {}, 0.0}
                     : contention);
--- a/src/libsycamorespar/placement_query.hpp
+++ b/src/libsycamorespar/placement_query.hpp
@@ -31,6 +31,8 @@
     bool allows_contention = false;
     /// True for a serving task, which has a latency target.
     bool serves = false;
+    /// What all waiting tasks of the step reserve, in millicores.
+    std::int64_t step_millicores = 0;
     /// Label that the worker must have; empty for none.
     std::string required_label;
     /// Rack that is preferred; empty for none.
--- a/tests/contended_backfill_test.cpp
+++ b/tests/contended_backfill_test.cpp
@@ -41,6 +41,8 @@
     graph_scheduler scheduler{first_term, {}, {}, test_start};
     monotonic_time now = test_start;
     std::map<std::string, test_runner> runners;
+    /// The tail latency of all serving tasks; close to their target at first.
+    std::int64_t tail_ms = 17;
 
     explicit fleet(std::size_t workers)
     {
@@ -64,15 +66,15 @@
         }
     }
 
-    /// Lets time pass in steps in which all runners report. Serving tasks are
-    /// close to their target all the time, so that backfill runs stand still.
+    /// Lets time pass in steps in which all runners report; backfill runs stand
+    /// still.
     void pass(duration span)
     {
         constexpr auto step = 100ms;
         for (auto const end = now + span; now < end; now += step) {
             for (auto& [name, runner] : runners) {
                 for (auto& run : runner.report.runs) {
-                    run.measurement = is_serving(run.run) ? 17 : 0;
+                    run.measurement = is_serving(run.run) ? tail_ms : 0;
                     run.pace = is_fill(run.run) ? 0 : 100;
                 }
                 runner.exchange(scheduler, now);
@@ -139,6 +141,60 @@
 
 } // namespace
 
+TEST_CASE("in a busy fleet, harm is accepted for one backfill run at a time")
+{
+    fleet world(6);
+    world.serve_everywhere(12'000);
+    for (int job = 0; job < 10; ++job)
+        world.add(
+            fmt::format("fill{}", job), "batch", backfill_step(4, "fill"));
+    for (int round = 0; round < 40; ++round) {
+        world.pass(100ms);
+        REQUIRE(world.count_runs_of("fill") <= 1);
+    }
+    CHECK(world.count_runs_of("fill") == 1);
+}
+
+TEST_CASE("in a busy fleet, no backfill job waits for ever")
+{
+    fleet world(6);
+    world.serve_everywhere(12'000);
+    constexpr int jobs = 5;
+    for (int job = 0; job < jobs; ++job)
+        world.add(
+            fmt::format("fill{}", job), "batch", backfill_step(2, "fill"));
+    for (int round = 0; round < 60; ++round) {
+        world.pass(2s);
+        world.finish("fill");
+    }
+    world.pass(1s);
+    CHECK(world.scheduler.counts().jobs_ended.at(job_phase::completed) == jobs);
+}
+
+TEST_CASE(
+    "a backfill run that stands still doesn't hold up the others for ever")
+{
+    fleet world(6);
+    world.serve_everywhere(12'000);
+    for (int job = 0; job < 3; ++job)
+        world.add(
+            fmt::format("fill{}", job), "batch", backfill_step(1, "fill"));
+    world.pass(30s);
+    CHECK(world.count_runs_of("fill") == 3);
+}
+
+TEST_CASE("while most of the room is free, each backfill job has a run")
+{
+    fleet world(6);
+    world.serve_everywhere(4'000);
+    for (int job = 0; job < 10; ++job)
+        world.add(
+            fmt::format("fill{}", job), "batch", backfill_step(4, "fill"));
+    world.pass(3s);
+    for (int job = 0; job < 10; ++job)
+        CHECK(world.count_runs_of(fmt::format("fill{}", job)) >= 1);
+}
+
 TEST_CASE("a waiting backfill task tells what it would harm")
 {
     fleet world(2);
@@ -204,3 +260,69 @@
     CHECK(changed[0].backfill_image == "fill");
     CHECK(world.scheduler.take_changed_estimates().empty());
 }
+
+TEST_CASE("a run that all serving tasks bear doesn't count as harm accepted")
+{
+    fleet world(2);
+    world.tail_ms = 6;
+    world.serve_everywhere(12'000);
+    // It needs the memory of a whole worker, and waits until one joins.
+    auto step = backfill_step(1, "fill");
+    step.need.memory_mib = worker_size.memory_mib;
+    world.add("fill", "batch", step);
+    world.pass(2s);
+    REQUIRE(world.count_runs_of("fill") == 0);
+    world.runners.emplace("w2", test_runner("w2", worker_size));
+    world.runners.at("w2").join(world.scheduler, world.now);
+    world.pass(500ms);
+    CHECK(world.count_runs_of("fill") == 1);
+    CHECK(world.scheduler.counts().accepted_contention == 0);
+}
+
+TEST_CASE("short tasks run beside serving tasks, so that a worker stays whole")
+{
+    fleet world(3);
+    world.add("serve", "urgent", serving_step(3, 3'000, "image"));
+    world.pass(1s);
+    REQUIRE(world.runs_of("serve").size() == 1);
+    auto const served = world.runs_of("serve").begin()->first;
+    world.add("short", "urgent", test_step(8, {500, 500, 0}));
+    world.pass(1s);
+    auto const runs = world.runs_of("short");
+    REQUIRE(runs.size() == 1);
+    CHECK(runs.begin()->first == served);
+    CHECK(runs.begin()->second.size() == 8);
+}
+
+TEST_CASE("short tasks go to a whole worker rather than wait")
+{
+    fleet world(2);
+    world.add("serve", "urgent", serving_step(5, 3'000, "image"));
+    world.pass(1s);
+    REQUIRE(world.runs_of("serve").size() == 1);
+    world.add("short", "urgent", test_step(8, {500, 500, 0}));
+    world.pass(1s);
+    CHECK(world.count_runs_of("short") == 8);
+}
+
+TEST_CASE("serving tasks that fill a worker don't share another image's worker")
+{
+    fleet world(4);
+    world.add("serve-a", "urgent", serving_step(4, 3'000, "a"));
+    world.pass(1s);
+    world.add("serve-b", "urgent", serving_step(5, 3'000, "b"));
+    world.pass(1s);
+    CHECK(world.runs_of("serve-b").size() == 1);
+    for (auto const& [name, runs] : world.runs_of("serve-b"))
+        CHECK_FALSE(world.runs_of("serve-a").contains(name));
+}
+
+TEST_CASE("a few serving tasks share another image's worker")
+{
+    fleet world(4);
+    world.add("serve-a", "urgent", serving_step(2, 3'000, "a"));
+    world.pass(1s);
+    world.add("serve-b", "urgent", serving_step(1, 3'000, "b"));
+    world.pass(1s);
+    CHECK(world.runs_of("serve").size() == 1);
+}
