--- a/review/stand-2/cases.hpp
+++ b/review/stand-2/cases.hpp
@@ -6,13 +6,11 @@
 
 namespace review {
 
-/// The leader learns of an added queue later than of the queue's first jobs.
-verdict run_late_configuration(world_settings const& settings);
-/// A queue's route is removed while one of its jobs runs, and then the leader
-/// is killed.
-verdict run_removed_route(world_settings const& settings);
-/// A minion that drains sent a heartbeat before that arrives after it.
-verdict run_late_heartbeat(world_settings const& settings);
+/// The leader's watch of the operator's keys goes silent once while the
+/// operator writes large configurations.
+verdict run_long_watch(world_settings const& settings);
+/// One job that can never be done has many occurrences that are due.
+verdict run_overdue(world_settings const& settings);
 
 } // namespace review
 
--- a/review/stand-2/main.cpp
+++ b/review/stand-2/main.cpp
@@ -38,9 +38,7 @@
 int main(int count, char** texts)
 {
     std::map<std::string, verdict (*)(world_settings const&)> const cases = {
-        {"late-configuration", &run_late_configuration},
-        {"removed-route", &run_removed_route},
-        {"late-heartbeat", &run_late_heartbeat}};
+        {"long-watch", &run_long_watch}, {"overdue", &run_overdue}};
     if (count != 3 || !cases.contains(texts[1])) {
         std::cerr << "usage: review-stand-2 CASE RECORD\n";
         return static_cast<int>(verdict::not_run);
--- a/review/stand-2/world.cpp
+++ b/review/stand-2/world.cpp
@@ -85,29 +85,40 @@
             << std::flush;
 }
 
-void world::configure(std::uint64_t version, std::vector<route> const& routes)
+void world::configure(
+    std::uint64_t version, std::vector<route> const& routes,
+    std::size_t idle_routes)
 {
     json listed = json::array();
     std::string names;
+    auto const add = [&](std::string const& name, std::string const& host,
+                         std::string const& prefix) {
+        listed.push_back(
+            {{"name", name},
+             {"host", host},
+             {"prefix", prefix},
+             {"kind", "non_idempotent"},
+             {"timeout_ms", 3000},
+             {"target_latency_ms", 1000},
+             {"priority", 0},
+             {"service", "ledger"},
+             {"max_attempts", 3},
+             {"stretch", 2.0}});
+    };
     std::size_t number = 0;
     for (auto const& scheduler : system_->schedulers()) {
         ++number;
         for (auto const& each : routes) {
-            auto const name = each.name + "-" + std::to_string(number);
-            names += " " + name + " (" + each.prefix + ")";
-            listed.push_back(
-                {{"name", name},
-                 {"host", scheduler.address},
-                 {"prefix", each.prefix},
-                 {"kind", "non_idempotent"},
-                 {"timeout_ms", 3000},
-                 {"target_latency_ms", 1000},
-                 {"priority", 0},
-                 {"service", "ledger"},
-                 {"max_attempts", 3},
-                 {"stretch", 2.0}});
+            add(each.name + "-" + std::to_string(number), scheduler.address,
+                each.prefix);
+            names += " " + each.name + "-" + std::to_string(number) + " (" +
+                     each.prefix + ")";
         }
     }
+    for (std::size_t each = 0; each < idle_routes; ++each) {
+        auto const name = fmt::format("idle{:05}", each);
+        add(name, name + ".example", "/" + name + "/");
+    }
     json const pool = {{"name", "ledger"},      {"health_path", "/healthz"},
                        {"max_connections", 64}, {"protocol", "h1"},
                        {"tls", false},          {"cold_start_s", 0.0},
@@ -122,9 +133,12 @@
           {"max_body_bytes", 262'144},
           {"header_timeout_ms", 3000},
           {"idle_timeout_ms", 15'000}}}};
-    system_->store().kv().put("op/config", configuration.dump());
+    auto const text = configuration.dump();
+    system_->store().kv().put("op/config", text);
     note(fmt::format(
-        "operator: configuration {} acknowledged, routes{}", version, names));
+        "operator: configuration {} acknowledged, {} bytes, routes{}{}",
+        version, text.size(), names,
+        idle_routes == 0 ? "" : fmt::format(" and {} more", idle_routes)));
 }
 
 void world::call(
--- a/review/stand-2/world.hpp
+++ b/review/stand-2/world.hpp
@@ -77,8 +77,11 @@
     milliseconds since_start(monotonic_time when) const;
     /// Writes a line to the record.
     void note(std::string const& what);
-    /// Puts a configuration with these routes, with max_attempts 3.
-    void configure(std::uint64_t version, std::vector<route> const& routes);
+    /// Puts a configuration with these routes, with max_attempts 3, and this
+    /// many more that nobody uses.
+    void configure(
+        std::uint64_t version, std::vector<route> const& routes,
+        std::size_t idle_routes = 0);
     /// A call of a client; the answer is recorded.
     void call(
         std::size_t scheduler, std::string const& method,
