--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 # review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-stand-2/review-stand-2 ] || exit 2
-exec target/review-stand-2/review-stand-2 long-watch review/7/record.txt
+exec target/review-stand-2/review-stand-2 half-answer review/7/record.txt
--- a/review/stand-2/cases.cpp
+++ b/review/stand-2/cases.cpp
@@ -1,7 +1,12 @@
 #include "cases.hpp"
 
+#include "cutting_proxy.hpp"
+
 #include <algorithm>
 #include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -172,4 +177,123 @@
     return lost == 0 ? verdict::held : verdict::broken;
 }
 
+namespace {
+
+/// Lets the schedulers reach the store through proxies of this case.
+std::vector<std::unique_ptr<cutting_proxy>>
+insert_proxies(world& all, std::string const& folder)
+{
+    constexpr std::uint16_t store_port = 8169;
+    constexpr std::uint16_t proxy_port = 8170;
+    std::vector<std::unique_ptr<cutting_proxy>> proxies;
+    std::size_t number = 0;
+    for (auto& each : all.system().schedulers()) {
+        ++number;
+        proxies.push_back(std::make_unique<cutting_proxy>(
+            all.loop(), endpoint{each.address, store_port}));
+        if (!proxies.back()->listen({each.address, proxy_port}))
+            return {};
+        auto const path =
+            fmt::format("{}/scheduler-{}.settings", folder, number);
+        std::ifstream in(path);
+        std::string text{std::istreambuf_iterator<char>(in), {}};
+        auto const old_store = each.address + ":" + std::to_string(store_port);
+        auto const at = text.find(old_store);
+        if (at == std::string::npos)
+            return {};
+        text.replace(
+            at, old_store.size(),
+            each.address + ":" + std::to_string(proxy_port));
+        std::ofstream(path) << text;
+        each.process->kill();
+        each.process->start();
+    }
+    return proxies;
+}
+
+} // namespace
+
+verdict run_half_answer(world_settings const& settings)
+{
+    constexpr milliseconds cancel_bound{3000};
+    constexpr milliseconds contact{3000};
+    constexpr int tasks = 600;
+    world all(settings, 2, 3);
+    if (!all.start())
+        return verdict::not_run;
+    auto const proxies = insert_proxies(all, settings.folder);
+    if (proxies.empty())
+        return verdict::not_run;
+    all.configure(10, {{"queue", jobs_prefix}});
+    auto const cancelled = job_id(1);
+    std::optional<std::size_t> other;
+    std::optional<monotonic_time> silent;
+    std::optional<monotonic_time> acknowledged;
+    std::function<void()> const cancel = [&] {
+        all.call(
+            *other, "DELETE", jobs_prefix + cancelled, "",
+            [&](int status, json const&) {
+                if (status == 200 && !acknowledged)
+                    acknowledged = event_loop::now();
+            });
+    };
+    // 48 at once, for some 8 s.
+    all.at(milliseconds(6000), [&] {
+        if (auto const leader = all.system().leader())
+            other = 1 - *leader;
+        else
+            return;
+        auto large = job(600);
+        large["steps"][0]["count"] = tasks;
+        all.submit(*other, jobs_prefix + cancelled, large);
+    });
+    all.at(milliseconds(8000), [&] {
+        if (!other || !all.has_trouble())
+            return;
+        constexpr std::size_t least_body = 200;
+        proxies[1 - *other]->cut_next(
+            "kv-watch?prefix=job/", least_body, [&, leader = 1 - *other] {
+                silent = event_loop::now();
+                all.note(fmt::format(
+                    "the connection on which scheduler-{}, which leads, "
+                    "watches "
+                    "the jobs goes silent within an answer; new ones work",
+                    leader + 1));
+            });
+    });
+    // The answer tells of this job.
+    all.at(milliseconds(8200), [&] {
+        if (other)
+            all.submit(*other, jobs_prefix + job_id(2), job(300));
+    });
+    all.at(milliseconds(8400), [&] {
+        if (other)
+            cancel();
+    });
+    all.run_until(milliseconds(20'000));
+    all.note_runs();
+    if (!acknowledged || (all.has_trouble() && !silent))
+        return verdict::not_run;
+    auto bound = *acknowledged + cancel_bound;
+    if (silent)
+        bound = std::max(bound, *silent + contact);
+    std::size_t late = 0;
+    std::size_t runs = 0;
+    for (auto const& [task, all_runs] : all.system().history().tasks()) {
+        for (auto const& run : all_runs) {
+            if (!task.starts_with(cancelled))
+                continue;
+            ++runs;
+            late += run.began > bound ? 1 : 0;
+        }
+    }
+    all.note(fmt::format(
+        "{} runs of the cancelled job; {} began later than {:.3f} s: 3 s after "
+        "the cancelling was acknowledged, and after the connection went silent",
+        runs, late, all.since_start(bound).count() / 1000.0));
+    if (runs == 0)
+        return verdict::not_run;
+    return late == 0 ? verdict::held : verdict::broken;
+}
+
 } // namespace review
--- a/review/stand-2/cases.hpp
+++ b/review/stand-2/cases.hpp
@@ -11,6 +11,9 @@
 verdict run_long_watch(world_settings const& settings);
 /// One job that can never be done has many occurrences that are due.
 verdict run_overdue(world_settings const& settings);
+/// The leader's watch of the jobs goes silent within an answer, and then a job
+/// is cancelled.
+verdict run_half_answer(world_settings const& settings);
 
 } // namespace review
 
--- a/review/stand-2/main.cpp
+++ b/review/stand-2/main.cpp
@@ -38,7 +38,9 @@
 int main(int count, char** texts)
 {
     std::map<std::string, verdict (*)(world_settings const&)> const cases = {
-        {"long-watch", &run_long_watch}, {"overdue", &run_overdue}};
+        {"long-watch", &run_long_watch},
+        {"overdue", &run_overdue},
+        {"half-answer", &run_half_answer}};
     if (count != 3 || !cases.contains(texts[1])) {
         std::cerr << "usage: review-stand-2 CASE RECORD\n";
         return static_cast<int>(verdict::not_run);
