--- a/review/stand-2/cases.cpp
+++ b/review/stand-2/cases.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -296,4 +297,76 @@
     return late == 0 ? verdict::held : verdict::broken;
 }
 
+verdict run_dark_minion(world_settings const& settings)
+{
+    constexpr std::size_t minions = 8;
+    constexpr unsigned jobs = 48;
+    constexpr milliseconds dark_at{6000};
+    constexpr milliseconds between{30};
+    // visible_ms, and 2 s by which a count may be old.
+    constexpr milliseconds visible{5000};
+    world all(settings, 2, minions);
+    if (!all.start())
+        return verdict::not_run;
+    all.configure(10, {{"queue", jobs_prefix}});
+    if (all.has_trouble())
+        all.at(dark_at, [&] {
+            all.note("the minion of runner-1 is lost for good, silently");
+            all.system().workers().front()->pause();
+        });
+    std::map<std::string, monotonic_time> accepted;
+    for (unsigned each = 0; each < jobs; ++each)
+        all.at(dark_at + milliseconds(50) + between * each, [&, each] {
+            all.call(
+                0, "POST", jobs_prefix + job_id(each), job(3000).dump(),
+                [&, id = job_id(each)](int status, json const&) {
+                    if (status == 200)
+                        accepted[id] = event_loop::now();
+                });
+        });
+    struct answer
+    {
+        monotonic_time at;
+        std::size_t pending;
+    };
+    std::vector<answer> answers;
+    for (auto when = dark_at + visible; when < dark_at + milliseconds(9000);
+         when += milliseconds(250))
+        all.at(when, [&] {
+            all.call(
+                0, "GET", jobs_prefix, "", [&](int status, json const& body) {
+                    if (status == 200)
+                        answers.push_back(
+                            {event_loop::now(),
+                             body.at("pending").get<std::size_t>()});
+                });
+        });
+    all.run_until(milliseconds(18'000));
+    all.note_runs();
+    if (accepted.size() < jobs / 2 || answers.empty())
+        return verdict::not_run;
+    std::size_t wrong = 0;
+    for (auto const& each : answers) {
+        std::size_t not_begun = 0;
+        for (auto const& [id, since] : accepted) {
+            if (since > each.at - visible)
+                continue;
+            auto const& tasks = all.system().history().tasks();
+            auto const found = tasks.find(id + ".0.0.0");
+            not_begun +=
+                found == tasks.end() || found->second.front().began > each.at
+                    ? 1
+                    : 0;
+        }
+        bool const is_wrong = 2 * each.pending < not_begun;
+        wrong += is_wrong ? 1 : 0;
+        all.note(fmt::format(
+            "at {:.3f} s pending is {}; {} jobs that were accepted over 5 s "
+            "before have not begun{}",
+            all.since_start(each.at).count() / 1000.0, each.pending, not_begun,
+            is_wrong ? ": wrong" : ""));
+    }
+    return wrong == 0 ? verdict::held : verdict::broken;
+}
+
 } // namespace review
--- a/review/stand-2/cases.hpp
+++ b/review/stand-2/cases.hpp
@@ -14,6 +14,8 @@
 /// The leader's watch of the jobs goes silent within an answer, and then a job
 /// is cancelled.
 verdict run_half_answer(world_settings const& settings);
+/// A minion is lost silently while jobs are handed in.
+verdict run_dark_minion(world_settings const& settings);
 
 } // namespace review
 
--- a/review/stand-2/main.cpp
+++ b/review/stand-2/main.cpp
@@ -40,7 +40,8 @@
     std::map<std::string, verdict (*)(world_settings const&)> const cases = {
         {"long-watch", &run_long_watch},
         {"overdue", &run_overdue},
-        {"half-answer", &run_half_answer}};
+        {"half-answer", &run_half_answer},
+        {"dark-minion", &run_dark_minion}};
     if (count != 3 || !cases.contains(texts[1])) {
         std::cerr << "usage: review-stand-2 CASE RECORD\n";
         return static_cast<int>(verdict::not_run);
