Count the timeout of a call from its last byte

The connection on which the leader watches the jobs had gone silent 0.2 s before, within an answer. The leader learned of the cancelling 4.7 s after the 200; until then runners went on starting tasks of the job, 144 of them later than 3 s after the 200.

Cause: http_client gave a call another whole timeout if bytes had moved since the last look, however long ago in that time. A watch has 2.5 s, since the store may hold it for 2 s; a byte that came 0.2 s after it was sent made that 5 s. Ruled out: the cancelling itself (the scheduler that took it logs it as stored within 8 ms), the way from the leader to the runners (no start after job_cancelled), and the pause before the watch is sent again (50 ms).

Change: call_deadline moves with each byte. A call fails one timeout after its last byte, wherever in the call that was; `longest` still bounds the whole. This also shortens the calls to the store and the reports of runners, which had up to two timeouts, and requests that stop on their way. The reason in the logs now tells an answer that stopped from one that never came.

--- a/src/common/http_client.cpp
+++ b/src/common/http_client.cpp
@@ -4,6 +4,7 @@
 /// as not_run.
 #include "common/http_client.hpp"
 
+#include "common/call_deadline.hpp"
 #include "common/no_delay.hpp"
 
 #include <algorithm>
@@ -95,6 +96,27 @@
            evutil_inet_pton(AF_INET6, address.c_str(), &number) == 1;
 }
 
+/// The longest time of a call whose bytes don't keep it going.
+std::chrono::milliseconds total_timeout(http_client_limits const& limits)
+{
+    // evhttp's timeout also closes idle connections. If it is longer than the
+    // call timeout, only the deadline limits the time of a call.
+    constexpr int total_timeouts = 2;
+    return limits.idle.count() == 0 ? limits.timeout * total_timeouts
+                                    : limits.timeout;
+}
+
+call_deadline_limits deadline_limits(http_client_limits const& limits)
+{
+    auto const total = total_timeout(limits);
+    if (limits.longest <= total)
+        return {total, total, total};
+    bool const has_pause = limits.max_pause.count() > 0;
+    return {
+        limits.timeout, has_pause ? limits.max_pause : limits.timeout,
+        limits.longest};
+}
+
 /// evhttp writes the target unescaped and silently drops invalid headers, so
 /// both are checked here.
 bool is_well_formed(http_request const& request)
@@ -121,7 +143,7 @@
 struct http_client::pending
 {
     std::uint64_t number = 0;
-    event_id deadline = 0;
+    event_id timer = 0;
     monotonic_time begun_at{};
     http_request request;
     callback on_result;
@@ -136,11 +158,9 @@
     bool failed_after_connect = false;
     evhttp_request_error failure_code = EVREQ_HTTP_EOF;
     std::uint64_t call_number = 0;
-    event_id deadline = 0;
-    event_id connect_deadline = 0;
-    monotonic_time begun_at{};
-    std::size_t received = 0;
-    std::size_t unsent = 0;
+    event_id timer = 0;
+    event_id connect_timer = 0;
+    call_deadline deadline;
     callback on_result;
 
     ~connection() { close(); }
@@ -174,21 +194,24 @@
             unusable = true;
     }
 
-    /// Updates the counts of bytes. Once the request is sent, only received
-    /// bytes show that the peer is alive.
-    /// \return true if bytes have moved since the last update.
-    bool has_progressed()
+    static void on_input(
+        evbuffer* /*input*/, evbuffer_cb_info const* change, void* argument)
     {
-        auto* stream = evhttp_connection_get_bufferevent(handle);
-        auto const now_received =
-            evbuffer_get_length(bufferevent_get_input(stream));
-        auto const now_unsent =
-            evbuffer_get_length(bufferevent_get_output(stream));
-        bool const is_progress =
-            now_received != received || (now_unsent > 0 && now_unsent < unsent);
-        received = now_received;
-        unsent = now_unsent;
-        return is_progress;
+        auto* self = static_cast<connection*>(argument);
+        if (!self->busy || change->n_added == 0)
+            return;
+        auto const before = self->deadline.at();
+        self->deadline.on_received(event_loop::now());
+        if (self->deadline.at() < before)
+            self->owner->start_timer(*self);
+    }
+
+    static void
+    on_output(evbuffer* output, evbuffer_cb_info const* change, void* argument)
+    {
+        auto* self = static_cast<connection*>(argument);
+        if (change->n_deleted > 0 && evbuffer_get_length(output) > 0)
+            self->deadline.on_part_sent(event_loop::now());
     }
 
     bool unusable = false;
@@ -223,8 +246,8 @@
 
     callback end_call()
     {
-        owner->loop_.cancel(deadline);
-        owner->loop_.cancel(connect_deadline);
+        owner->loop_.cancel(timer);
+        owner->loop_.cancel(connect_timer);
         busy = false;
         return std::exchange(on_result, nullptr);
     }
@@ -255,10 +278,10 @@
 http_client::~http_client()
 {
     for (auto const& each : waiting_)
-        loop_.cancel(each->deadline);
+        loop_.cancel(each->timer);
     for (auto const& each : connections_) {
-        loop_.cancel(each->deadline);
-        loop_.cancel(each->connect_deadline);
+        loop_.cancel(each->timer);
+        loop_.cancel(each->connect_timer);
     }
 }
 
@@ -306,17 +329,11 @@
              outcome::not_run});
         return;
     }
-    // evhttp's timeout also closes idle connections. If it is longer than the
-    // call timeout, only the deadline limits the time of a call.
-    constexpr int total_timeouts = 2;
-    auto const total = limits_.idle.count() == 0
-                           ? limits_.timeout * total_timeouts
-                           : limits_.timeout;
     std::uint64_t const number = next_call_++;
-    auto const deadline =
-        loop_.after(total, [this, number] { on_deadline(number); });
+    auto const timer = loop_.after(
+        total_timeout(limits_), [this, number] { on_deadline(number); });
     waiting_.push_back(std::make_unique<pending>(pending{
-        number, deadline, event_loop::now(), std::move(request),
+        number, timer, event_loop::now(), std::move(request),
         std::move(on_result)}));
     start_waiting();
 }
@@ -336,10 +353,22 @@
         return;
     }
     auto* const sent = find_call(call_number);
-    if (sent != nullptr && !extend_deadline(*sent))
+    if (sent == nullptr)
+        return;
+    if (event_loop::now() < sent->deadline.at())
+        start_timer(*sent);
+    else
         fail_sent(
             *sent,
-            {"http.call", peer, "no whole answer in time", outcome::unknown});
+            {"http.call", peer, sent->deadline.reason(), outcome::unknown});
+}
+
+void http_client::start_timer(connection& of)
+{
+    loop_.cancel(of.timer);
+    of.timer = loop_.after(
+        of.deadline.at() - event_loop::now(),
+        [this, number = of.call_number] { on_deadline(number); });
 }
 
 http_client::connection* http_client::find_call(std::uint64_t call_number)
@@ -363,7 +392,7 @@
 
 // evhttp writes a request only once its connection is established, so that a
 // call which is given up before was certainly not sent.
-void http_client::on_connect_deadline(std::uint64_t call_number)
+void http_client::on_connect_timeout(std::uint64_t call_number)
 {
     auto* const sent = find_call(call_number);
     if (sent == nullptr || sent->is_connected())
@@ -377,21 +406,9 @@
 {
     if (limits_.connect_timeout.count() == 0)
         return;
-    chosen.connect_deadline = loop_.after(
+    chosen.connect_timer = loop_.after(
         limits_.connect_timeout,
-        [this, number = chosen.call_number] { on_connect_deadline(number); });
-}
-
-bool http_client::extend_deadline(connection& of)
-{
-    auto const spent = event_loop::now() - of.begun_at;
-    if (spent >= limits_.longest || !of.has_progressed())
-        return false;
-    auto const left =
-        std::min<duration>(limits_.timeout, limits_.longest - spent);
-    of.deadline = loop_.after(
-        left, [this, number = of.call_number] { on_deadline(number); });
-    return true;
+        [this, number = chosen.call_number] { on_connect_timeout(number); });
 }
 
 http_client::connection* http_client::find_connection()
@@ -438,6 +455,10 @@
     evhttp_connection_set_timeout_tv(chosen.handle, &timeout);
     auto* const stream = evhttp_connection_get_bufferevent(chosen.handle);
     bufferevent_set_max_single_read(stream, max_single_read);
+    evbuffer_add_cb(
+        bufferevent_get_input(stream), &connection::on_input, &chosen);
+    evbuffer_add_cb(
+        bufferevent_get_output(stream), &connection::on_output, &chosen);
     if (limits_.is_urgent)
         bufferevent_priority_set(stream, event_loop::urgent_priority);
 }
@@ -454,10 +475,8 @@
     chosen.call_number = next.number;
     if (is_new)
         watch_connecting(chosen);
-    chosen.deadline = next.deadline;
-    chosen.begun_at = next.begun_at;
-    chosen.received = 0;
-    chosen.unsent = next.request.body.size();
+    chosen.timer = next.timer;
+    chosen.deadline = call_deadline(deadline_limits(limits_), next.begun_at);
     chosen.on_result = std::move(next.on_result);
     auto* raw = evhttp_request_new(&connection::on_done, &chosen);
     evhttp_request_set_error_cb(raw, &connection::on_error);
--- a/src/common/http_client.hpp
+++ b/src/common/http_client.hpp
@@ -40,10 +40,14 @@
     /// after this time; zero leaves it to the timeout. A machine without power
     /// answers no attempt to connect.
     std::chrono::milliseconds connect_timeout{0};
-    /// If longer than the timeout, a call whose bytes still move at its timeout
-    /// goes on, up to this time in total: over a slow link, a large message
-    /// takes long.
+    /// If longer than the timeout, a call whose bytes keep moving goes on, up
+    /// to this time in total: over a slow link, a large message takes long. The
+    /// timeout then limits the time since a byte last moved.
     std::chrono::milliseconds longest{0};
+    /// With `longest`, the limit of that time once the answer has begun; zero
+    /// means the timeout. The answer to a long poll may begin late, but once
+    /// begun it arrives like any other.
+    std::chrono::milliseconds max_pause{0};
     /// Its connections are served before those of other clients and servers.
     bool is_urgent = false;
 };
@@ -76,9 +80,9 @@
     struct pending;
     void fail_later(callback on_result, error why);
     void on_deadline(std::uint64_t call_number);
-    bool extend_deadline(connection& of);
+    void start_timer(connection& of);
     void watch_connecting(connection& chosen);
-    void on_connect_deadline(std::uint64_t call_number);
+    void on_connect_timeout(std::uint64_t call_number);
     void fail_sent(connection& chosen, error why);
     connection* find_call(std::uint64_t call_number);
     connection* find_connection();
--- a/tests/http_traps_test.cpp
+++ b/tests/http_traps_test.cpp
@@ -74,6 +74,8 @@
     }
 
     endpoint where;
+    /// False if new connections are accepted but never read.
+    bool reads = true;
     int connections = 0;
     int requests = 0;
 
@@ -90,7 +92,7 @@
         bufferevent_setcb(
             stream, &scripted_peer::on_bytes, &scripted_peer::on_sent,
             &scripted_peer::on_event, self);
-        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        bufferevent_enable(stream, self->reads ? EV_READ | EV_WRITE : EV_WRITE);
     }
 
     static void on_bytes(bufferevent* stream, void* argument)
@@ -385,6 +387,75 @@
     CHECK(event_loop::now() - begun < limits.longest / 2);
 }
 
+// A call was given another timeout if its answer had begun since the last look,
+// however long ago that was.
+TEST_CASE("the timeout counts from the last byte of an answer that stops")
+{
+    http_client_limits limits;
+    limits.timeout = std::chrono::milliseconds(2000);
+    limits.idle = std::chrono::milliseconds(30'000);
+    limits.longest = std::chrono::milliseconds(20'000);
+    scripted_pair pair(
+        [](int) {
+            return reaction{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx"};
+        },
+        limits);
+    auto const begun = event_loop::now();
+    auto const got = pair.call(start);
+    CHECK(event_loop::now() - begun < 2 * limits.timeout);
+    CHECK(effect_of(got) == outcome::unknown);
+    CHECK(failure(got).reason == "the answer stopped before its end");
+    CHECK(pair.client.in_flight() == 0);
+}
+
+// The request goes into the buffers of the system in part; the peer reads none.
+TEST_CASE("the timeout counts from the last byte of a request that stops")
+{
+    constexpr std::size_t body_bytes = 64 * 1024 * 1024;
+    http_client_limits limits;
+    limits.timeout = std::chrono::milliseconds(2000);
+    limits.idle = std::chrono::milliseconds(30'000);
+    limits.longest = std::chrono::milliseconds(20'000);
+    scripted_pair pair([](int) { return reaction{}; }, limits);
+    pair.peer.reads = false;
+    auto const begun = event_loop::now();
+    auto const got =
+        pair.call({"POST", "/start", {}, std::string(body_bytes, 'x')});
+    CHECK(event_loop::now() - begun < 2 * limits.timeout);
+    CHECK(effect_of(got) == outcome::unknown);
+    CHECK(failure(got).reason == "no answer in time");
+}
+
+TEST_CASE("a long poll whose answer stops ends well before its timeout")
+{
+    http_client_limits limits;
+    limits.timeout = std::chrono::milliseconds(15'000);
+    limits.idle = std::chrono::milliseconds(30'000);
+    limits.longest = std::chrono::milliseconds(40'000);
+    limits.max_pause = std::chrono::milliseconds(100);
+    scripted_pair pair([](int) { return reaction{"HTTP/1.1 2"}; }, limits);
+    auto const begun = event_loop::now();
+    CHECK(effect_of(pair.call(start)) == outcome::unknown);
+    CHECK(event_loop::now() - begun < limits.timeout / 2);
+    CHECK(pair.peer.requests == 1);
+}
+
+TEST_CASE("an answer to a long poll may begin later than it may pause")
+{
+    http_client_limits limits;
+    limits.timeout = std::chrono::milliseconds(15'000);
+    limits.idle = std::chrono::milliseconds(30'000);
+    limits.longest = std::chrono::milliseconds(40'000);
+    limits.max_pause = std::chrono::milliseconds(50);
+    scripted_pair pair([](int) { return reaction{}; }, limits);
+    pair.loop.after(std::chrono::milliseconds(300), [&] {
+        pair.peer.send_all(answer_with("late"));
+    });
+    auto const got = pair.call(start);
+    REQUIRE(ok(got));
+    CHECK(value(got).body == "late");
+}
+
 TEST_CASE("a call that times out in the queue is reported as not run")
 {
     http_client_limits limits;
--- a/tests/kv_client_test.cpp
+++ b/tests/kv_client_test.cpp
@@ -3,7 +3,9 @@
 #include "common/http_server.hpp"
 #include "platform/kv_client.hpp"
 #include "standins/kv/kv_service.hpp"
+#include "standins/proxy/loopback_proxy.hpp"
 #include "store/list_all.hpp"
+#include "store/prefix_watch.hpp"
 
 #include <catch2/catch.hpp>
 #include <optional>
@@ -239,6 +241,47 @@
     CHECK(value(fixture.client.watch("w/", from, 1000ms)).is_history_lost);
 }
 
+// UNASKED: tasks of a cancelled job were started for five more seconds, since
+// the leader's watch of the jobs had gone silent within an answer.
+TEST_CASE("a change is soon known although a watch stops within an answer")
+{
+    // The deadline for stopping the tasks of a cancelled job.
+    constexpr std::chrono::milliseconds cancel_deadline{3000};
+    event_loop loop;
+    standins::kv_service service(loop);
+    auto const target = take(service.listen({"127.0.0.1", 0}));
+    standins::loopback_proxy proxy(loop, target);
+    endpoint const where{"127.0.0.2", target.port};
+    REQUIRE(ok(proxy.listen(where)));
+    kv_client client(loop, {where});
+    auto const store = client.store();
+    service.kv().put("job/1", "accepted");
+    std::string job;
+    prefix_watch const watch(
+        loop, store, "job/",
+        {[&](auto const&) { loop.stop(); },
+         [&](kv_change const& change) {
+             if (change.item.key != "job/1")
+                 return;
+             job = change.item.value;
+             loop.stop();
+         }});
+    loop.run();
+
+    proxy.cut_next_answer("kv-watch");
+    service.kv().put("job/2", "accepted");
+    std::optional<monotonic_time> cancelled_at;
+    loop.after(100ms, [&] {
+        cancelled_at = event_loop::now();
+        service.kv().put("job/1", "cancelled");
+    });
+    loop.after(test_bound, [&] { loop.stop(); });
+    loop.run();
+    CHECK(job == "cancelled");
+    REQUIRE(cancelled_at.has_value());
+    CHECK(event_loop::now() - *cancelled_at < cancel_deadline);
+}
+
 TEST_CASE("an expired lease removes its keys and is reported as ended")
 {
     store_fixture fixture;
--- a/tests/process_soak/soak_faults.cpp
+++ b/tests/process_soak/soak_faults.cpp
@@ -44,6 +44,8 @@
         {"late-orders", 2, &soak_faults::delay_orders},
         {"cut-watches", 3, &soak_faults::cut_watches},
         {"silence", 2, &soak_faults::silence_connections},
+        {"cut-answers", 2, &soak_faults::cut_answers},
+        {"cut-job-watches", 1, &soak_faults::cut_job_watches},
         {"lose-answers", 2, &soak_faults::lose_answers},
         {"late-write", 2, &soak_faults::delay_write},
         {"revoke", 2, &soak_faults::revoke_leadership},
@@ -311,6 +313,18 @@
     return found;
 }
 
+/// The runners' links to their workers and to the schedulers.
+std::vector<standins::loopback_proxy*> soak_faults::runner_links()
+{
+    std::vector<standins::loopback_proxy*> found;
+    for (auto& links : world_.deployed.links()) {
+        found.push_back(links.worker.get());
+        for (auto& each : links.reports)
+            found.push_back(each.get());
+    }
+    return found;
+}
+
 void soak_faults::cut_watches()
 {
     bool const loses_history = world_.random.chance(0.6);
@@ -329,16 +343,38 @@
         if (world_.random.chance(part))
             each->silence_connections();
     }
-    for (auto& links : world_.deployed.links()) {
+    for (auto* const each : runner_links()) {
         if (world_.random.chance(part))
-            links.worker->silence_connections();
-        for (auto& each : links.reports) {
-            if (world_.random.chance(part))
-                each->silence_connections();
-        }
+            each->silence_connections();
+    }
+}
+
+/// Connections go silent within an answer.
+void soak_faults::cut_answers()
+{
+    static std::vector<std::string> const store_calls = {
+        "kv-watch", "kv-range", "kv-txn", "kv-keep"};
+    auto const& call = store_calls[world_.random.any_of(store_calls)];
+    auto const part = 0.2 + 0.6 * world_.random.share();
+    world_.note(fmt::format("answers cut, {}, {:.2f}", call, part));
+    for (auto* const each : store_links()) {
+        if (world_.random.chance(part))
+            each->cut_next_answer(call);
+    }
+    for (auto* const each : runner_links()) {
+        if (world_.random.chance(part))
+            each->cut_next_answer("");
     }
 }
 
+/// The leader is told half of the next change of a job.
+void soak_faults::cut_job_watches()
+{
+    world_.note("watches of jobs cut within an answer");
+    for (auto* const each : store_links())
+        each->cut_next_answer("kv-watch?prefix=job/");
+}
+
 void soak_faults::lose_answers()
 {
     auto const count = world_.random.between(1, 6);
@@ -418,6 +454,10 @@
     ++last_outage_;
     soak_faults::restore_store();
     world_.deployed.store().control({{"lose_answers", 0}});
+    for (auto* const each : store_links())
+        each->cancel_cut();
+    for (auto* const each : runner_links())
+        each->cancel_cut();
     for (auto& [domain, number] : evacuated_) {
         ++number;
         world_.deployed.evacuate(domain, false);
--- a/tests/process_soak/soak_faults.hpp
+++ b/tests/process_soak/soak_faults.hpp
@@ -67,8 +67,11 @@
     void drain_worker() { workers_.drain(); }
     void delay_orders() { workers_.delay_orders(); }
     std::vector<standins::loopback_proxy*> store_links();
+    std::vector<standins::loopback_proxy*> runner_links();
     void cut_watches();
     void silence_connections();
+    void cut_answers();
+    void cut_job_watches();
     void lose_answers();
     void delay_write();
     void revoke_leadership();
--- a/tests/process_soak_test.cpp
+++ b/tests/process_soak_test.cpp
@@ -188,3 +188,21 @@
     limits.kinds = {"pause-worker", "starve-worker"};
     run_seed(seed, limits);
 }
+
+// UNASKED: when the leader's watch of the jobs stopped within an answer, tasks
+// of cancelled jobs were started for five more seconds, and those of new jobs
+// not.
+TEST_CASE(
+    "a watch that stops within an answer delays neither starts nor stops",
+    "[connections]")
+{
+    constexpr std::uint64_t seed = 2;
+    process_soak_limits limits;
+    limits.faults = std::chrono::seconds(8);
+    // These faults end at once; what they hide must be known in time.
+    limits.quiet = std::chrono::seconds(0);
+    limits.jobs.lasting = 0.25;
+    limits.jobs.is_of_users = true;
+    limits.kinds = {"cut-job-watches"};
+    run_seed(seed, limits);
+}
--- a/tests/standins/proxy/loopback_proxy.cpp
+++ b/tests/standins/proxy/loopback_proxy.cpp
@@ -1,5 +1,5 @@
-/// A request that is to be delayed must arrive in one piece; the calls of our
-/// clients do.
+/// A request that is to be delayed, or whose answer is to be cut, must arrive
+/// in one piece; the calls of our clients do.
 #include "standins/proxy/loopback_proxy.hpp"
 
 #include <algorithm>
@@ -52,6 +52,7 @@
     bufferevent* near = nullptr;
     bufferevent* far = nullptr;
     bool is_silent = false;
+    std::string last_request;
 
     connection(loopback_proxy& of, int descriptor)
         : owner(of), near(bufferevent_socket_new(
@@ -81,13 +82,14 @@
         }
         if (from == self.far) {
             if (!self.owner.holds_answers())
-                evbuffer_add_buffer(bufferevent_get_output(self.near), input);
+                self.pass_answer(input);
             return;
         }
         if (self.owner.holds_requests())
             return;
+        self.last_request = self.unsent_request();
         if (!self.owner.delayed_text_.empty()) {
-            auto const request = self.unsent_request();
+            auto const& request = self.last_request;
             if (self.owner.is_delayed(request)) {
                 self.is_silent = true;
                 evbuffer_drain(input, request.size());
@@ -98,6 +100,20 @@
         evbuffer_add_buffer(bufferevent_get_output(self.far), input);
     }
 
+    /// Passes the bytes of an answer on, or half of them if it is to be cut.
+    void pass_answer(evbuffer* input)
+    {
+        auto* const output = bufferevent_get_output(near);
+        if (evbuffer_get_length(input) > 1 && owner.is_cut(last_request)) {
+            is_silent = true;
+            evbuffer_remove_buffer(
+                input, output, evbuffer_get_length(input) / 2);
+            evbuffer_drain(input, evbuffer_get_length(input));
+            return;
+        }
+        evbuffer_add_buffer(output, input);
+    }
+
     /// The bytes of the caller that were not passed on.
     std::string unsent_request() const
     {
@@ -237,6 +253,19 @@
     return true;
 }
 
+void loopback_proxy::cut_next_answer(std::string const& text)
+{
+    cut_text_ = text;
+}
+
+bool loopback_proxy::is_cut(std::string const& request)
+{
+    if (!cut_text_ || request.find(*cut_text_) == std::string::npos)
+        return false;
+    cut_text_.reset();
+    return true;
+}
+
 // The answer isn't read: nobody waits for it any more.
 void loopback_proxy::send_later(
     std::string const& request, std::chrono::milliseconds delay)
--- a/tests/standins/proxy/loopback_proxy.hpp
+++ b/tests/standins/proxy/loopback_proxy.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +58,11 @@
     /// The next request that contains this text gets no answer, and reaches the
     /// target after the delay.
     void delay_next(std::string const& text, std::chrono::milliseconds delay);
+    /// The next answer to a request that contains this text arrives in part;
+    /// its connection is silent from then on.
+    void cut_next_answer(std::string const& text);
+    /// Forgets the answer that was to be cut.
+    void cancel_cut() { cut_text_.reset(); }
 
 private:
     struct connection;
@@ -67,6 +73,7 @@
     void open(int descriptor);
     void close(connection& of, bool with_reset);
     bool is_delayed(std::string const& request);
+    bool is_cut(std::string const& request);
     bool holds_requests() const;
     bool holds_answers() const;
     void release();
@@ -81,6 +88,7 @@
     std::set<bufferevent*> late_;
     std::string delayed_text_;
     std::chrono::milliseconds delay_{0};
+    std::optional<std::string> cut_text_;
     /// Requests that are held back and whose callers have closed.
     std::vector<std::string> abandoned_;
     std::shared_ptr<bool> alive_;
