HTTP client: explain the callbacks, and move a test's comment to its test

Read as a newcomer would: the limits without `longest` and the two buffer callbacks weren't explained, and the comment on listings over a slow link stood above another test. No behaviour changes.

--- a/src/common/http_client.cpp
+++ b/src/common/http_client.cpp
@@ -96,7 +96,7 @@
            evutil_inet_pton(AF_INET6, address.c_str(), &number) == 1;
 }
 
-/// The longest time of a call whose bytes don't keep it going.
+/// The longest time of a call, unless moving bytes keep it going.
 std::chrono::milliseconds total_timeout(http_client_limits const& limits)
 {
     // evhttp's timeout also closes idle connections. If it is longer than the
@@ -109,6 +109,7 @@
 call_deadline_limits deadline_limits(http_client_limits const& limits)
 {
     auto const total = total_timeout(limits);
+    // Moving bytes don't extend the call.
     if (limits.longest <= total)
         return {total, total, total};
     bool const has_pause = limits.max_pause.count() > 0;
@@ -194,6 +195,7 @@
             unusable = true;
     }
 
+    /// Runs when bytes are added to the input buffer, or removed.
     static void on_input(
         evbuffer* /*input*/, evbuffer_cb_info const* change, void* argument)
     {
@@ -206,6 +208,7 @@
             self->owner->start_timer(*self);
     }
 
+    /// Runs when bytes are added to the output buffer, or sent.
     static void
     on_output(evbuffer* output, evbuffer_cb_info const* change, void* argument)
     {
--- a/tests/http_traps_test.cpp
+++ b/tests/http_traps_test.cpp
@@ -300,8 +300,6 @@
     CHECK(pair.client.in_flight() == 0);
 }
 
-// A listing that takes longer than the timeout over a slow link was thrown away
-// and begun again, for ever: a new leader never read its records.
 // After a loss of power runners followed the last leader, whose machine was
 // still off, and waited for a whole timeout before they looked for another.
 TEST_CASE("a call to a machine that accepts no connection is soon not run")
@@ -345,6 +343,8 @@
     close(listener);
 }
 
+// A listing that takes longer than the timeout over a slow link was thrown away
+// and begun again, for ever: a new leader never read its records.
 TEST_CASE("an answer that keeps coming over a slow link is read to its end")
 {
     constexpr int body_bytes = 40;
