--- a/review/stand-3/cases.cpp
+++ b/review/stand-3/cases.cpp
@@ -177,16 +177,18 @@
 bool large_record(deployment& made, record& to)
 {
     constexpr int occurrences = 50;
-    constexpr std::uint32_t tasks_of_occurrence = 900;
+    constexpr std::uint32_t tasks_of_occurrence = 1100;
     constexpr int interval_ms = 500;
     made.configure({{"ledger", "bundle"}});
     for (int each = 0; each < 3; ++each)
         made.add_scheduler();
     std::string const large = "aaaaaaaaaaaaaaaa";
-    for (int each = 0; each < 3; ++each)
-        made.add_worker("bundle", {"a", "r1-1"}, 64'000).leave_out(large);
+    for (int each = 0; each < 9; ++each)
+        made.add_worker(
+                "bundle", {"a", "r1-" + std::to_string(1 + each / 3)}, 64'000)
+            .leave_out(large);
     made.await_ready();
-    // Twice a second, 900 tasks of 100 s and one of a second.
+    // Twice a second, 1,100 tasks of 100 s and one of a second.
     json const steps = {
         {{"count", tasks_of_occurrence},
          {"cpu", 1},
